--- /dev/null
+++ b/crates/mastknot_core/src/config/config_replica.rs
@@ -0,0 +1,132 @@
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use crate::message::{ConfigDelta, ConfigItem, ResourceName};
+
+/// What [`ConfigReplica::apply`] did with a delta.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Applied {
+    /// The replica moved to the delta's version.
+    Advanced,
+    /// The delta is not newer than what is in force; nothing changed.
+    Older,
+    /// The delta starts after the replica's version: something in between is missing.
+    Gap,
+}
+
+/// One node's copy of the configuration.
+///
+/// The version only rises, and so does the version of each resource: a stale read, a repeated
+/// watch event or a late neighbour changes nothing. Deleted resources leave their version behind,
+/// so an old value cannot bring them back.
+///
+/// # Examples
+///
+/// ```
+/// use mastknot_core::config::{Applied, ConfigReplica};
+/// use mastknot_core::message::{ConfigDelta, ConfigItem, ResourceName};
+///
+/// let item = |version, value: &str| ConfigItem {
+///     resource: ResourceName::new("service", "orders"),
+///     version,
+///     value: Some(value.into()),
+/// };
+/// let mut replica = ConfigReplica::default();
+/// let new = ConfigDelta { base: 0, version: 7, items: vec![item(7, "new")] };
+/// let old = ConfigDelta { base: 0, version: 5, items: vec![item(5, "old")] };
+/// assert_eq!(replica.apply(&new), Applied::Advanced);
+/// assert_eq!(replica.apply(&old), Applied::Older);
+/// assert_eq!(replica.get("service", "orders").as_deref(), Some("new"));
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct ConfigReplica {
+    version: u64,
+    items: BTreeMap<ResourceName, ConfigItem>,
+    older_ignored: u64,
+}
+
+impl ConfigReplica {
+    /// The version in force.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// How many deltas and snapshots were ignored for being older than what is in force.
+    pub fn older_ignored(&self) -> u64 {
+        self.older_ignored
+    }
+
+    /// Puts a delta in force if it is newer and complete.
+    pub fn apply(&mut self, delta: &ConfigDelta) -> Applied {
+        if delta.version <= self.version {
+            self.older_ignored += 1;
+            return Applied::Older;
+        }
+        if delta.base > self.version {
+            return Applied::Gap;
+        }
+        if delta.base == 0 {
+            self.delete_absent(delta);
+        }
+        for item in &delta.items {
+            self.put(item);
+        }
+        self.version = delta.version;
+        Applied::Advanced
+    }
+
+    /// A full copy names every resource, so one that it leaves out has been deleted.
+    fn delete_absent(&mut self, full: &ConfigDelta) {
+        let named: std::collections::BTreeSet<_> =
+            full.items.iter().map(|item| &item.resource).collect();
+        for item in self.items.values_mut() {
+            if item.value.is_some() && !named.contains(&item.resource) {
+                item.value = None;
+                item.version = full.version;
+            }
+        }
+    }
+
+    fn put(&mut self, item: &ConfigItem) {
+        let is_newer = self
+            .items
+            .get(&item.resource)
+            .is_none_or(|held| held.version < item.version);
+        if is_newer {
+            self.items.insert(item.resource.clone(), item.clone());
+        }
+    }
+
+    /// The JSON text of a resource, if it exists.
+    pub fn get(&self, kind: &str, name: &str) -> Option<Arc<str>> {
+        self.items
+            .get(&ResourceName::new(kind, name))
+            .and_then(|item| item.value.clone())
+    }
+
+    /// The item of a resource with its version; a deleted one has no value.
+    pub fn item(&self, resource: &ResourceName) -> Option<&ConfigItem> {
+        self.items.get(resource)
+    }
+
+    /// All live resources of a kind.
+    pub fn of_kind<'a>(&'a self, kind: &'a str) -> impl Iterator<Item = &'a ConfigItem> {
+        self.items
+            .values()
+            .filter(move |item| &*item.resource.kind == kind && item.value.is_some())
+    }
+
+    /// What a replica at `base` lacks; a full copy for `base` zero.
+    pub fn delta_since(&self, base: u64) -> ConfigDelta {
+        let items = self
+            .items
+            .values()
+            .filter(|item| item.version > base)
+            .filter(|item| base > 0 || item.value.is_some());
+        ConfigDelta {
+            base,
+            version: self.version,
+            items: items.cloned().collect(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/mastknot_core/src/config/mod.rs
@@ -0,0 +1,13 @@
+//! The configuration as every node holds it.
+
+mod config_replica;
+mod config_write;
+mod profile;
+mod service;
+mod team;
+
+pub use config_replica::{Applied, ConfigReplica};
+pub use config_write::{ConfigWrite, StoredResource, WriteCall, WriteStep};
+pub use profile::Profile;
+pub use service::Service;
+pub use team::Team;
--- /dev/null
+++ b/crates/mastknot_core/src/config/team.rs
@@ -0,0 +1,29 @@
+use serde::{Deserialize, Serialize};
+
+/// A team as the operators define it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Team {
+    /// Tasks that it may run at once while others wait.
+    pub quota: u32,
+    /// Its share against other teams that wait.
+    #[serde(default = "default_weight")]
+    pub weight: u32,
+    /// The hall whose entries and targets it prefers.
+    #[serde(default)]
+    pub home_hall: Option<String>,
+}
+
+fn default_weight() -> u32 {
+    1
+}
+
+impl Default for Team {
+    fn default() -> Self {
+        Self {
+            quota: u32::MAX,
+            weight: default_weight(),
+            home_hall: None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/mastknot_core/src/dispatch/fair_queue.rs
@@ -0,0 +1,349 @@
+use std::collections::{BTreeSet, HashMap, VecDeque};
+
+use super::JobOrder;
+use crate::types::{Moment, NodeName, SubmissionKey, TaskId};
+
+/// A task that was taken from the queue.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct QueuedTask {
+    /// The task.
+    pub task: TaskId,
+    /// The service that runs it.
+    pub service: NodeName,
+    /// Since when it waited.
+    pub since: Moment,
+}
+
+#[derive(Clone, Debug)]
+struct QueuedSubmission {
+    service: NodeName,
+    order: u64,
+    since: Moment,
+    indexes: VecDeque<u16>,
+}
+
+#[derive(Clone, Debug, Default)]
+struct CustomerQueue {
+    /// Work taken so far, in microseconds.
+    taken: u64,
+    order: BTreeSet<(u64, SubmissionKey)>,
+    submissions: HashMap<SubmissionKey, QueuedSubmission>,
+    waiting: u32,
+}
+
+#[derive(Clone, Debug)]
+struct TeamQueue {
+    weight: u64,
+    limit: u32,
+    running: u32,
+    /// Work taken so far, in microseconds, divided by the weight.
+    taken: u64,
+    order: BTreeSet<(u64, NodeName)>,
+    customers: HashMap<NodeName, CustomerQueue>,
+    waiting: u32,
+}
+
+impl TeamQueue {
+    fn is_over(&self) -> bool {
+        self.running >= self.limit
+    }
+}
+
+type TeamKey = (bool, u64, NodeName);
+
+/// Waiting tasks, shared fairly between teams and between the customers of a team.
+///
+/// Teams share by weight, and the customers within a team share evenly: whoever has taken the
+/// least work so far goes next. A team at its limit goes only when no team below its own waits.
+/// Within a customer a [`JobOrder`] decides.
+///
+/// # Examples
+///
+/// ```
+/// use mastknot_core::dispatch::{FairQueue, JobOrder};
+/// use mastknot_core::types::{Moment, SubmissionKey, WallTime};
+///
+/// let mut queue = FairQueue::new(JobOrder::FirstCome);
+/// let key = |n| SubmissionKey::new(WallTime::from_millis(1), n);
+/// let now = Moment::default();
+/// let far = Moment::from_millis(9);
+/// queue.push(now, "large".into(), "c".into(), "orders".into(), key(1), 100, far);
+/// queue.push(now, "small".into(), "c".into(), "orders".into(), key(2), 1, far);
+/// let first = queue.pop(50, |_| true).unwrap();
+/// let second = queue.pop(50, |_| true).unwrap();
+/// assert_ne!(first.task.key, second.task.key, "the small team does not wait for the large one");
+/// ```
+#[derive(Clone, Debug)]
+pub struct FairQueue {
+    job_order: JobOrder,
+    teams: HashMap<NodeName, TeamQueue>,
+    order: BTreeSet<TeamKey>,
+    place: HashMap<SubmissionKey, (NodeName, NodeName)>,
+    arrivals: u64,
+    waiting: u32,
+    /// The work taken by the team that went last: newcomers start from there.
+    level: u64,
+}
+
+impl FairQueue {
+    /// An empty queue.
+    pub fn new(job_order: JobOrder) -> Self {
+        Self {
+            job_order,
+            teams: HashMap::new(),
+            order: BTreeSet::new(),
+            place: HashMap::new(),
+            arrivals: 0,
+            waiting: 0,
+            level: 0,
+        }
+    }
+
+    /// Tasks that wait.
+    pub fn waiting(&self) -> u32 {
+        self.waiting
+    }
+
+    /// Tasks of a team that wait.
+    pub fn team_waiting(&self, team: &NodeName) -> u32 {
+        self.teams.get(team).map_or(0, |queue| queue.waiting)
+    }
+
+    /// Tasks of a team that run.
+    pub fn team_running(&self, team: &NodeName) -> u32 {
+        self.teams.get(team).map_or(0, |queue| queue.running)
+    }
+
+    /// Teams with tasks that run, and how many.
+    pub fn running_by_team(&self) -> Vec<(NodeName, u32)> {
+        let running = self.teams.iter().filter(|(_, queue)| queue.running > 0);
+        let mut list: Vec<_> = running
+            .map(|(team, queue)| (team.clone(), queue.running))
+            .collect();
+        list.sort();
+        list
+    }
+
+    /// The tasks that would go before a new one of this team and customer.
+    pub fn ahead_of(&self, team: &NodeName, customer: &NodeName) -> u32 {
+        let Some(queue) = self.teams.get(team) else {
+            return 0;
+        };
+        let rivals = self.teams.values().filter(|other| other.waiting > 0);
+        let weights: u64 = rivals.map(|other| other.weight).sum();
+        let team_share = weights.max(queue.weight) / queue.weight.max(1);
+        let customers = queue.customers.values().filter(|c| c.waiting > 0).count();
+        let own = queue.customers.get(customer).map_or(0, |c| c.waiting);
+        let by_customer = u64::from(own) * customers.max(1) as u64;
+        let by_team = by_customer.min(u64::from(queue.waiting)) * team_share;
+        by_team.min(u64::from(self.waiting)) as u32
+    }
+
+    /// Sets a team's weight and how many tasks it may run here while others wait.
+    pub fn set_team(&mut self, team: &NodeName, weight: u32, limit: u32) {
+        self.touch_team(team, |queue| {
+            queue.weight = u64::from(weight.max(1));
+            queue.limit = limit;
+        });
+    }
+
+    /// Adds the tasks `0..count` of a submission.
+    #[allow(clippy::too_many_arguments)]
+    pub fn push(
+        &mut self,
+        now: Moment,
+        team: NodeName,
+        customer: NodeName,
+        service: NodeName,
+        key: SubmissionKey,
+        count: u16,
+        deadline: Moment,
+    ) {
+        self.arrivals += 1;
+        let order = match self.job_order {
+            JobOrder::ShortestRemaining => u64::from(count),
+            JobOrder::EarliestDeadline => deadline.as_micros(),
+            JobOrder::FirstCome => self.arrivals,
+        };
+        let submission = QueuedSubmission {
+            service,
+            order,
+            since: now,
+            indexes: (0..count).collect(),
+        };
+        self.place.insert(key, (team.clone(), customer.clone()));
+        self.waiting += u32::from(count);
+        let level = self.level;
+        self.touch_team(&team, |queue| {
+            if queue.waiting == 0 {
+                queue.taken = queue.taken.max(level);
+            }
+            queue.waiting += u32::from(count);
+            let lowest = queue.order.first().map_or(0, |(taken, _)| *taken);
+            let owner = queue.customers.entry(customer.clone()).or_default();
+            if owner.waiting == 0 {
+                owner.taken = owner.taken.max(lowest);
+                queue.order.insert((owner.taken, customer));
+            }
+            owner.waiting += u32::from(count);
+            owner.order.insert((order, key));
+            owner.submissions.insert(key, submission);
+        });
+    }
+
+    /// Puts a task that did not run back; it keeps its submission's place.
+    pub fn put_back(&mut self, team: &NodeName, customer: &NodeName, queued: QueuedTask) {
+        let key = queued.task.key;
+        self.waiting += 1;
+        self.place.insert(key, (team.clone(), customer.clone()));
+        self.touch_team(team, |queue| {
+            queue.waiting += 1;
+            let owner = queue.customers.entry(customer.clone()).or_default();
+            if owner.waiting == 0 {
+                queue.order.insert((owner.taken, customer.clone()));
+            }
+            owner.waiting += 1;
+            let submission = owner.submissions.entry(key).or_insert(QueuedSubmission {
+                service: queued.service,
+                order: 0,
+                since: queued.since,
+                indexes: VecDeque::new(),
+            });
+            submission.indexes.push_front(queued.task.index);
+            owner.order.insert((submission.order, key));
+        });
+    }
+
+    /// Takes the next task whose service `can_start`; `cost_micros` is what it will take.
+    pub fn pop(
+        &mut self,
+        cost_micros: u64,
+        can_start: impl Fn(&NodeName) -> bool,
+    ) -> Option<QueuedTask> {
+        let (team, customer, key) = self.find(&can_start)?;
+        let by_remaining = self.job_order == JobOrder::ShortestRemaining;
+        self.waiting -= 1;
+        let (task, taken, is_empty) = self.touch_team(&team, |queue| {
+            queue.waiting -= 1;
+            queue.running += 1;
+            queue.taken += cost_micros / queue.weight;
+            let owner = queue.customers.get_mut(&customer).expect("customer waits");
+            queue.order.remove(&(owner.taken, customer.clone()));
+            owner.taken += cost_micros;
+            owner.waiting -= 1;
+            let submission = owner.submissions.get_mut(&key).expect("submission waits");
+            let index = submission.indexes.pop_front().expect("task waits");
+            owner.order.remove(&(submission.order, key));
+            let task = QueuedTask {
+                task: TaskId { key, index },
+                service: submission.service.clone(),
+                since: submission.since,
+            };
+            let is_empty = submission.indexes.is_empty();
+            if is_empty {
+                owner.submissions.remove(&key);
+            } else {
+                if by_remaining {
+                    submission.order = submission.indexes.len() as u64;
+                }
+                owner.order.insert((submission.order, key));
+            }
+            if owner.waiting > 0 {
+                queue.order.insert((owner.taken, customer.clone()));
+            }
+            (task, queue.taken, is_empty)
+        });
+        self.level = self.level.max(taken.saturating_sub(cost_micros));
+        if is_empty {
+            self.place.remove(&key);
+        }
+        Some(task)
+    }
+
+    fn find(
+        &self,
+        can_start: &impl Fn(&NodeName) -> bool,
+    ) -> Option<(NodeName, NodeName, SubmissionKey)> {
+        for (_, _, team) in &self.order {
+            let queue = &self.teams[team];
+            for (_, customer) in &queue.order {
+                let owner = &queue.customers[customer];
+                let next = owner
+                    .order
+                    .iter()
+                    .find(|(_, key)| can_start(&owner.submissions[key].service));
+                if let Some((_, key)) = next {
+                    return Some((team.clone(), customer.clone(), *key));
+                }
+            }
+        }
+        None
+    }
+
+    /// Whether a team runs as many tasks as it may while others wait.
+    pub fn is_over_limit(&self, team: &NodeName) -> bool {
+        self.teams.get(team).is_some_and(TeamQueue::is_over)
+    }
+
+    /// Notes that a task of a team was started beside the queue.
+    pub fn note_extra_start(&mut self, team: &NodeName) {
+        self.touch_team(team, |queue| queue.running += 1);
+    }
+
+    /// Notes that a running task of a team has ended.
+    pub fn note_ended(&mut self, team: &NodeName) {
+        self.touch_team(team, |queue| {
+            queue.running = queue.running.saturating_sub(1);
+        });
+        let is_idle = |queue: &TeamQueue| queue.running == 0 && queue.waiting == 0;
+        if self.teams.get(team).is_some_and(is_idle) {
+            self.touch_team(team, |queue| queue.customers.clear());
+        }
+    }
+
+    /// Removes what waits of a submission; returns how many tasks that were.
+    pub fn remove(&mut self, key: SubmissionKey) -> u32 {
+        let Some((team, customer)) = self.place.remove(&key) else {
+            return 0;
+        };
+        let removed = self.touch_team(&team, |queue| {
+            let Some(owner) = queue.customers.get_mut(&customer) else {
+                return 0;
+            };
+            let Some(submission) = owner.submissions.remove(&key) else {
+                return 0;
+            };
+            owner.order.remove(&(submission.order, key));
+            let count = submission.indexes.len() as u32;
+            owner.waiting -= count;
+            queue.waiting -= count;
+            if owner.waiting == 0 {
+                queue.order.remove(&(owner.taken, customer.clone()));
+            }
+            count
+        });
+        self.waiting -= removed;
+        removed
+    }
+
+    /// Changes a team's queue and puts the team back in order.
+    fn touch_team<R>(&mut self, team: &NodeName, change: impl FnOnce(&mut TeamQueue) -> R) -> R {
+        let queue = self.teams.entry(team.clone()).or_insert_with(|| TeamQueue {
+            weight: 1,
+            limit: u32::MAX,
+            running: 0,
+            taken: 0,
+            order: BTreeSet::new(),
+            customers: HashMap::new(),
+            waiting: 0,
+        });
+        self.order
+            .remove(&(queue.is_over(), queue.taken, team.clone()));
+        let result = change(queue);
+        if queue.waiting > 0 {
+            self.order
+                .insert((queue.is_over(), queue.taken, team.clone()));
+        }
+        result
+    }
+}
--- /dev/null
+++ b/crates/mastknot_core/src/dispatch/mod.rs
@@ -0,0 +1,21 @@
+//! Queues, fairness, placement and early refusal at one entry.
+
+mod active_submission;
+mod credit_pool;
+mod dispatch_counters;
+mod dispatch_effect;
+mod dispatcher;
+mod fair_queue;
+mod job_order;
+mod pooled_side;
+mod retry_budget;
+mod service_estimate;
+
+pub use credit_pool::Candidate;
+pub use dispatch_counters::DispatchCounters;
+pub use dispatch_effect::{DispatchEffect, Verdict};
+pub use dispatcher::{Dispatcher, SideStatus};
+pub use fair_queue::{FairQueue, QueuedTask};
+pub use job_order::JobOrder;
+pub use retry_budget::RetryBudget;
+pub use service_estimate::ServiceEstimate;
--- /dev/null
+++ b/crates/mastknot_core/src/entry/callers.rs
@@ -0,0 +1,483 @@
+//! Callers' requests: refuse, forward, accept, or ask an earlier holder first.
+
+use std::sync::Arc;
+
+use super::entry_core::Waiter;
+use super::{CallerRequest, EntryCore, EntryEffect, RequestId};
+use crate::message::{
+    KeyStatus, PeerMessage, Refusal, RefusalReason, Reply, Submission, SubmissionAnswer,
+};
+use crate::roster::{Acceptance, MemberId};
+use crate::submission::Lookup;
+use crate::types::{NodeName, Now, SubmissionKey};
+
+/// When to come back while the roster changes, in milliseconds.
+const ROSTER_RETRY_AFTER_MS: u32 = 500;
+/// When to come back while the ledger is full, in milliseconds.
+const LEDGER_RETRY_AFTER_MS: u32 = 5_000;
+
+/// A request that was sent on to a peer.
+#[derive(Clone, Debug)]
+pub(super) struct Forwarded {
+    pub(super) waiter: Waiter,
+    pub(super) peer: NodeName,
+}
+
+/// A submission that waits for what earlier holders know of its key.
+#[derive(Clone, Debug)]
+pub(super) struct Question {
+    pub(super) waiter: Waiter,
+    pub(super) wait: bool,
+    pub(super) submission: Submission,
+    /// The earlier holder that is asked now.
+    pub(super) peer: MemberId,
+    /// Those that have said that they never accepted the key.
+    pub(super) cleared: Vec<MemberId>,
+}
+
+impl EntryCore {
+    pub(super) fn caller_asked(
+        &mut self,
+        now: Now,
+        request: RequestId,
+        ask: CallerRequest,
+        out: &mut Vec<EntryEffect>,
+    ) {
+        let waiter = Waiter::Caller(request);
+        match ask {
+            CallerRequest::Submit { submission, wait } => {
+                self.submit(now, waiter, submission, wait, out);
+            }
+            CallerRequest::Fetch { key, wait } => self.fetch(now, waiter, key, wait, out),
+        }
+    }
+
+    /// The caller's submission goes on; only the reply has nobody left to go to.
+    pub(super) fn caller_gone(&mut self, request: RequestId) {
+        let gone = Waiter::Caller(request);
+        for waiters in self.waiters.values_mut() {
+            waiters.retain(|waiter| *waiter != gone);
+        }
+        self.forwards
+            .retain(|_, forwarded| forwarded.waiter != gone);
+    }
+
+    pub(super) fn refuse(&mut self, waiter: &Waiter, refusal: Refusal, out: &mut Vec<EntryEffect>) {
+        *self.counters.refused.entry(refusal.reason).or_default() += 1;
+        self.reply(waiter, Reply::Refused(refusal), out);
+    }
+
+    fn check(&self, now: Now, submission: &Submission) -> Result<(), Refusal> {
+        let count = submission.tasks.len();
+        if count == 0 || count > usize::from(self.settings.max_tasks) {
+            return Err(Refusal::not_run(RefusalReason::BadTaskCount));
+        }
+        match self.ledger.check_age(now.wall, submission.key) {
+            Ok(()) => Ok(()),
+            // The system may have run it before it forgot the key.
+            Err(RefusalReason::KeyTooOld) => Err(Refusal::unknown(RefusalReason::KeyTooOld)),
+            Err(reason) => Err(Refusal::not_run(reason)),
+        }
+    }
+
+    pub(super) fn submit(
+        &mut self,
+        now: Now,
+        waiter: Waiter,
+        submission: Submission,
+        wait: bool,
+        out: &mut Vec<EntryEffect>,
+    ) {
+        if let Err(refusal) = self.check(now, &submission) {
+            return self.refuse(&waiter, refusal, out);
+        }
+        let digest = submission.digest();
+        match self.ledger.look_up(submission.key, digest) {
+            Lookup::Absent => self.submit_unknown(now, waiter, submission, wait, out),
+            Lookup::Reused => {
+                let refusal = Refusal::not_run(RefusalReason::KeyReused);
+                self.refuse(&waiter, refusal, out);
+            }
+            known => {
+                self.counters.resubmitted += 1;
+                self.reply_known(waiter, submission.key, known, wait, out);
+            }
+        }
+    }
+
+    /// Replies from the ledger, or joins those who wait for the answer.
+    fn reply_known(
+        &mut self,
+        waiter: Waiter,
+        key: SubmissionKey,
+        known: Lookup,
+        wait: bool,
+        out: &mut Vec<EntryEffect>,
+    ) {
+        match known {
+            Lookup::Finished(answer) => {
+                let answer: SubmissionAnswer = Arc::unwrap_or_clone(answer);
+                self.reply(&waiter, Reply::Answered(answer), out);
+            }
+            Lookup::Active if wait => self.waiters.entry(key).or_default().push(waiter),
+            Lookup::Active => {
+                let (done, count) = self.dispatcher.progress(key).unwrap_or_default();
+                self.reply(&waiter, Reply::Pending { done, count }, out);
+            }
+            Lookup::Absent | Lookup::Reused => {
+                let refusal = Refusal::unknown(RefusalReason::NotFound);
+                self.refuse(&waiter, refusal, out);
+            }
+        }
+    }
+
+    fn submit_unknown(
+        &mut self,
+        now: Now,
+        waiter: Waiter,
+        submission: Submission,
+        wait: bool,
+        out: &mut Vec<EntryEffect>,
+    ) {
+        match self.membership.acceptance(now, submission.key) {
+            Acceptance::Yes => self.accept(now, waiter, submission, wait, out),
+            Acceptance::HeldBy(holder) => {
+                if matches!(waiter, Waiter::Peer { .. }) {
+                    // The sender's roster differs from this one; a second hop could go in circles.
+                    let refusal = Refusal::not_run(RefusalReason::NoAuthority);
+                    return self.refuse(
+                        &waiter,
+                        refusal.retry_after_ms(ROSTER_RETRY_AFTER_MS),
+                        out,
+                    );
+                }
+                self.forward(waiter, &holder.id.name, out, |request| {
+                    PeerMessage::Forward {
+                        request,
+                        wait,
+                        submission,
+                    }
+                });
+            }
+            Acceptance::NoAuthority => {
+                let reason = if self.is_stopping {
+                    RefusalReason::Stopping
+                } else {
+                    RefusalReason::NoAuthority
+                };
+                let refusal = Refusal::not_run(reason).retry_after_ms(ROSTER_RETRY_AFTER_MS);
+                self.refuse(&waiter, refusal, out);
+            }
+            Acceptance::NotYet(left) => {
+                let refusal = Refusal::not_run(RefusalReason::NoAuthority)
+                    .retry_after_ms(left.as_millis() as u32 + 1);
+                self.refuse(&waiter, refusal, out);
+            }
+            Acceptance::Ask(holders) => {
+                let question = Question {
+                    waiter,
+                    wait,
+                    submission,
+                    peer: self.settings.me.id.clone(),
+                    cleared: Vec::new(),
+                };
+                self.ask_holders(now, question, holders, out);
+            }
+            Acceptance::Unknown => {
+                self.rebuild(now, waiter, submission.key, Some(submission.digest()), out);
+            }
+        }
+    }
+
+    fn accept(
+        &mut self,
+        now: Now,
+        waiter: Waiter,
+        submission: Submission,
+        wait: bool,
+        out: &mut Vec<EntryEffect>,
+    ) {
+        if self.is_stopping && self.is_alone() {
+            let refusal = Refusal::not_run(RefusalReason::Stopping);
+            return self.refuse(&waiter, refusal.retry_after_ms(ROSTER_RETRY_AFTER_MS), out);
+        }
+        let Some(definition) = self.service(&submission.service) else {
+            let refusal = Refusal::not_run(RefusalReason::UnknownService);
+            return self.refuse(&waiter, refusal, out);
+        };
+        if !self.ledger.has_room() {
+            let refusal = Refusal::not_run(RefusalReason::LedgerFull);
+            return self.refuse(&waiter, refusal.retry_after_ms(LEDGER_RETRY_AFTER_MS), out);
+        }
+        let key = submission.key;
+        self.ledger.accept(key, submission.digest());
+        if wait {
+            self.waiters.entry(key).or_default().push(waiter.clone());
+        } else {
+            self.waiters.entry(key).or_default();
+        }
+        let admitted = self.with_dispatcher(now, out, |dispatcher, effects| {
+            dispatcher.submit(now.monotonic, &submission, definition, effects)
+        });
+        match admitted {
+            Ok(()) => {
+                self.counters.accepted += 1;
+                if !wait {
+                    let count = submission.tasks.len() as u16;
+                    self.reply(&waiter, Reply::Pending { done: 0, count }, out);
+                }
+            }
+            Err(refusal) => {
+                self.ledger.withdraw(key);
+                self.waiters.remove(&key);
+                self.refuse(&waiter, refusal, out);
+            }
+        }
+    }
+
+    fn forward(
+        &mut self,
+        waiter: Waiter,
+        peer: &NodeName,
+        out: &mut Vec<EntryEffect>,
+        message: impl FnOnce(u64) -> PeerMessage,
+    ) {
+        if !self.membership.is_connected(peer) {
+            let refusal = Refusal::not_run(RefusalReason::HolderUnreachable);
+            return self.refuse(&waiter, refusal.retry_after_ms(ROSTER_RETRY_AFTER_MS), out);
+        }
+        let request = self.new_id();
+        self.counters.forwarded += 1;
+        let peer = peer.clone();
+        let forwarded = Forwarded {
+            waiter,
+            peer: peer.clone(),
+        };
+        self.forwards.insert(request, forwarded);
+        let message = message(request);
+        out.push(EntryEffect::ToPeer { peer, message });
+    }
+
+    pub(super) fn fetch(
+        &mut self,
+        now: Now,
+        waiter: Waiter,
+        key: SubmissionKey,
+        wait: bool,
+        out: &mut Vec<EntryEffect>,
+    ) {
+        let known = self.ledger.find(key);
+        if known != Lookup::Absent {
+            return self.reply_known(waiter, key, known, wait, out);
+        }
+        match self.membership.acceptance(now, key) {
+            Acceptance::HeldBy(holder) if matches!(waiter, Waiter::Caller(_)) => {
+                self.forward(waiter, &holder.id.name, out, |request| PeerMessage::Fetch {
+                    request,
+                    wait,
+                    key,
+                });
+            }
+            Acceptance::Unknown => self.rebuild(now, waiter, key, None, out),
+            Acceptance::Yes => {
+                let refusal = Refusal::not_run(RefusalReason::NotFound);
+                self.refuse(&waiter, refusal, out);
+            }
+            _ => {
+                let refusal = Refusal::unknown(RefusalReason::NotFound);
+                self.refuse(&waiter, refusal.retry_after_ms(ROSTER_RETRY_AFTER_MS), out);
+            }
+        }
+    }
+
+    /// A holder replied to something that was forwarded.
+    pub(super) fn replied(&mut self, request: u64, reply: Reply, out: &mut Vec<EntryEffect>) {
+        let forwarded = self.forwards.remove(&request).map(|f| f.waiter);
+        let asked = || self.questions.remove(&request).map(|q| q.waiter);
+        match forwarded.or_else(asked) {
+            Some(waiter) => self.reply(&waiter, reply, out),
+            None => self.counters.unmatched_replies += 1,
+        }
+    }
+
+    /// What was forwarded to a lost peer may have run there.
+    pub(super) fn fail_forwards(&mut self, peer: &NodeName, out: &mut Vec<EntryEffect>) {
+        let mut lost: Vec<u64> = self
+            .forwards
+            .iter()
+            .filter(|(_, forwarded)| forwarded.peer == *peer)
+            .map(|(request, _)| *request)
+            .collect();
+        lost.sort_unstable();
+        for request in lost {
+            let Some(forwarded) = self.forwards.remove(&request) else {
+                continue;
+            };
+            let refusal = Refusal::unknown(RefusalReason::HolderLost);
+            let refusal = refusal.retry_after_ms(ROSTER_RETRY_AFTER_MS);
+            self.refuse(&forwarded.waiter, refusal, out);
+        }
+    }
+
+    // ---- asking earlier holders ----
+
+    /// Asks the first earlier holder that has not cleared the key, or accepts if all have.
+    fn ask_holders(
+        &mut self,
+        now: Now,
+        mut question: Question,
+        holders: Vec<MemberId>,
+        out: &mut Vec<EntryEffect>,
+    ) {
+        let is_open = |id: &MemberId| !question.cleared.contains(id);
+        let Some(peer) = holders.into_iter().find(is_open) else {
+            let Question {
+                waiter,
+                wait,
+                submission,
+                ..
+            } = question;
+            return self.accept(now, waiter, submission, wait, out);
+        };
+        self.counters.keys_asked += 1;
+        let request = self.new_id();
+        let message = PeerMessage::AskKey {
+            request,
+            version: self.membership.version(),
+            key: question.submission.key,
+            digest: question.submission.digest(),
+            wait: question.wait,
+        };
+        out.push(EntryEffect::ToPeer {
+            peer: peer.name.clone(),
+            message,
+        });
+        question.peer = peer;
+        self.questions.insert(request, question);
+    }
+
+    /// An earlier holder said what it knows of a key.
+    pub(super) fn key_known(
+        &mut self,
+        now: Now,
+        request: u64,
+        status: KeyStatus,
+        out: &mut Vec<EntryEffect>,
+    ) {
+        let Some(mut question) = self.questions.remove(&request) else {
+            self.counters.unmatched_replies += 1;
+            return;
+        };
+        match status {
+            KeyStatus::Held(reply) => self.reply(&question.waiter, reply, out),
+            KeyStatus::Unknown => {
+                let refusal = Refusal::unknown(RefusalReason::OutcomeUnknown);
+                self.refuse(&question.waiter, refusal, out);
+            }
+            KeyStatus::NeverAccepted => {
+                question.cleared.push(question.peer.clone());
+                self.go_on_asking(now, question, out);
+            }
+        }
+    }
+
+    fn go_on_asking(&mut self, now: Now, question: Question, out: &mut Vec<EntryEffect>) {
+        let key = question.submission.key;
+        // While the question was out, another copy may have been accepted.
+        let is_absent = self.ledger.find(key) == Lookup::Absent;
+        match self.membership.acceptance(now, key) {
+            Acceptance::Ask(holders) if is_absent => self.ask_holders(now, question, holders, out),
+            _ => self.submit(
+                now,
+                question.waiter,
+                question.submission,
+                question.wait,
+                out,
+            ),
+        }
+    }
+
+    /// The roster changed: open questions were asked under the old one.
+    pub(super) fn resume_questions(&mut self, now: Now, out: &mut Vec<EntryEffect>) {
+        self.restart_questions(now, |_| true, out);
+    }
+
+    /// A peer was lost: questions to it get no answer.
+    pub(super) fn fail_questions(&mut self, now: Now, peer: &MemberId, out: &mut Vec<EntryEffect>) {
+        let lost = peer.clone();
+        self.restart_questions(now, move |question| question.peer == lost, out);
+    }
+
+    fn restart_questions(
+        &mut self,
+        now: Now,
+        which: impl Fn(&Question) -> bool,
+        out: &mut Vec<EntryEffect>,
+    ) {
+        let mut requests: Vec<u64> = self
+            .questions
+            .iter()
+            .filter(|(_, question)| which(question))
+            .map(|(request, _)| *request)
+            .collect();
+        requests.sort_unstable();
+        for request in requests {
+            if let Some(question) = self.questions.remove(&request) {
+                self.submit(
+                    now,
+                    question.waiter,
+                    question.submission,
+                    question.wait,
+                    out,
+                );
+            }
+        }
+    }
+
+    /// A new holder asks what this entry knows of a key that it may have held.
+    #[allow(clippy::too_many_arguments)]
+    pub(super) fn key_asked(
+        &mut self,
+        peer: &NodeName,
+        request: u64,
+        version: u64,
+        key: SubmissionKey,
+        digest: u128,
+        wait: bool,
+        out: &mut Vec<EntryEffect>,
+    ) {
+        let status = match self.ledger.look_up(key, digest) {
+            Lookup::Absent if self.membership.has_adopted(version) => KeyStatus::NeverAccepted,
+            Lookup::Absent => KeyStatus::Unknown,
+            Lookup::Reused => {
+                let refusal = Refusal::not_run(RefusalReason::KeyReused);
+                KeyStatus::Held(Reply::Refused(refusal))
+            }
+            Lookup::Finished(answer) => {
+                KeyStatus::Held(Reply::Answered(Arc::unwrap_or_clone(answer)))
+            }
+            Lookup::Active if !wait => {
+                let (done, count) = self.dispatcher.progress(key).unwrap_or_default();
+                KeyStatus::Held(Reply::Pending { done, count })
+            }
+            Lookup::Active => {
+                // The asker's caller gets the answer when it is there.
+                let waiter = Waiter::Peer {
+                    peer: peer.clone(),
+                    request,
+                };
+                self.waiters.entry(key).or_default().push(waiter);
+                return;
+            }
+        };
+        let message = PeerMessage::KeyKnown { request, status };
+        let peer = peer.clone();
+        out.push(EntryEffect::ToPeer { peer, message });
+    }
+
+    pub(super) fn is_alone(&self) -> bool {
+        self.membership
+            .roster()
+            .is_none_or(|roster| roster.members.len() <= 1)
+    }
+}
--- /dev/null
+++ b/crates/mastknot_core/src/entry/peers.rs
@@ -0,0 +1,191 @@
+//! What peers send, and what is told to them unasked.
+
+use std::time::Duration;
+
+use super::entry_core::Waiter;
+use super::{EntryCore, EntryEffect};
+use crate::config::Applied;
+use crate::message::{ConfigDelta, PeerMessage, SideCredit};
+use crate::roster::{MemberId, Roster};
+use crate::types::{NodeName, Now};
+
+/// How often an entry tells its peers what they need to know.
+const GOSSIP_INTERVAL: Duration = Duration::from_millis(500);
+
+impl EntryCore {
+    pub(super) fn peer_sent(
+        &mut self,
+        now: Now,
+        peer: &MemberId,
+        message: PeerMessage,
+        out: &mut Vec<EntryEffect>,
+    ) {
+        self.membership.peer_heard(now, &peer.name);
+        match message {
+            PeerMessage::Hello {
+                member,
+                roster_version,
+                config_version,
+            } => {
+                self.with_membership(now, out, |m, e| {
+                    m.peer_joined(now, &member, roster_version, e)
+                });
+                self.peer_config_known(&member.id.name, config_version, out);
+            }
+            PeerMessage::Confirm { nonce, version } => {
+                self.with_membership(now, out, |m, e| {
+                    m.confirm_asked(now, &peer.name, nonce, version, e);
+                });
+            }
+            PeerMessage::Confirmed { nonce, version } => {
+                self.membership.confirmed(now, &peer.name, nonce, version);
+            }
+            PeerMessage::NewRoster(roster) => self.roster_told(now, roster, out),
+            PeerMessage::Adopted { version } => {
+                self.membership.peer_adopted(now, &peer.name, version);
+            }
+            PeerMessage::Join(member) => {
+                self.with_membership(now, out, |m, e| m.join_asked(now, member, e));
+            }
+            PeerMessage::Forward {
+                request,
+                wait,
+                submission,
+            } => {
+                let waiter = peer_waiter(peer, request);
+                self.submit(now, waiter, submission, wait, out);
+            }
+            PeerMessage::Fetch { request, wait, key } => {
+                let waiter = peer_waiter(peer, request);
+                self.fetch(now, waiter, key, wait, out);
+            }
+            PeerMessage::Replied { request, reply } => self.replied(request, reply, out),
+            PeerMessage::AskKey {
+                request,
+                version,
+                key,
+                digest,
+                wait,
+            } => self.key_asked(&peer.name, request, version, key, digest, wait, out),
+            PeerMessage::KeyKnown { request, status } => {
+                self.key_known(now, request, status, out);
+            }
+            PeerMessage::Handover {
+                records,
+                is_complete,
+            } => {
+                self.counters.taken_over += records.len() as u64;
+                for record in records {
+                    self.ledger.take_over(record);
+                }
+                if is_complete {
+                    self.membership.peer_handed_over(now, &peer.name);
+                }
+            }
+            PeerMessage::WantCredits { wanted } => self.lend(now, &peer.name, wanted, out),
+            PeerMessage::Lend { credits } => self.borrowed(now, credits, out),
+            PeerMessage::Config(delta) => self.config_learned(now, &delta, out),
+            PeerMessage::ConfigInForce { version, .. } => {
+                self.peer_config_known(&peer.name, version, out);
+            }
+            PeerMessage::TeamUse { running } => {
+                self.team_use.insert(peer.name.clone(), running);
+                self.apply_teams();
+            }
+        }
+    }
+
+    fn roster_told(&mut self, now: Now, roster: Roster, out: &mut Vec<EntryEffect>) {
+        self.with_membership(now, out, |m, e| m.roster_told(now, roster, e));
+    }
+
+    pub(super) fn peer_lost(&mut self, now: Now, peer: &MemberId, out: &mut Vec<EntryEffect>) {
+        self.membership.peer_left(&peer.name);
+        self.team_use.remove(&peer.name);
+        self.fail_forwards(&peer.name, out);
+        self.fail_questions(now, peer, out);
+    }
+
+    fn lend(&mut self, now: Now, peer: &NodeName, wanted: u32, out: &mut Vec<EntryEffect>) {
+        let credits = self.dispatcher.lend(now.monotonic, wanted);
+        if !credits.is_empty() {
+            let message = PeerMessage::Lend { credits };
+            let peer = peer.clone();
+            out.push(EntryEffect::ToPeer { peer, message });
+        }
+    }
+
+    fn borrowed(&mut self, now: Now, credits: Vec<SideCredit>, out: &mut Vec<EntryEffect>) {
+        self.with_dispatcher(now, out, |d, e| d.borrowed(now.monotonic, credits, e));
+    }
+
+    // ---- configuration ----
+
+    /// Configuration came from the store or from a peer.
+    pub(super) fn config_learned(
+        &mut self,
+        now: Now,
+        delta: &ConfigDelta,
+        out: &mut Vec<EntryEffect>,
+    ) {
+        if self.config.apply(delta) != Applied::Advanced {
+            return;
+        }
+        let version = self.config.version();
+        self.apply_teams();
+        self.apply_profile();
+        out.push(EntryEffect::ConfigAdvanced { version });
+        let message = PeerMessage::ConfigInForce {
+            version,
+            sides_at: 0,
+            sides: self.sides.len() as u32,
+        };
+        for peer in self.membership.connected() {
+            out.push(EntryEffect::ToPeer {
+                peer: peer.clone(),
+                message: message.clone(),
+            });
+        }
+        self.send_config_to_sides(now, out);
+    }
+
+    /// A peer said which version it has in force: it gets what it lacks.
+    fn peer_config_known(&mut self, peer: &NodeName, version: u64, out: &mut Vec<EntryEffect>) {
+        self.peer_versions.insert(peer.clone(), version);
+        if version < self.config.version() {
+            let message = PeerMessage::Config(self.config.delta_since(version));
+            let peer = peer.clone();
+            out.push(EntryEffect::ToPeer { peer, message });
+        }
+    }
+
+    // ---- told unasked ----
+
+    /// Tells peers which teams use much here, and keeps lagging sides supplied.
+    pub(super) fn gossip(&mut self, now: Now, out: &mut Vec<EntryEffect>) {
+        if now.monotonic.since(self.gossip_at) < GOSSIP_INTERVAL {
+            return;
+        }
+        self.gossip_at = now.monotonic;
+        self.send_config_to_sides(now, out);
+        let running = self.dispatcher.running_by_team();
+        if running == self.team_use_sent {
+            return;
+        }
+        self.team_use_sent = running.clone();
+        let message = PeerMessage::TeamUse { running };
+        for peer in self.membership.connected() {
+            out.push(EntryEffect::ToPeer {
+                peer: peer.clone(),
+                message: message.clone(),
+            });
+        }
+    }
+}
+
+fn peer_waiter(peer: &MemberId, request: u64) -> Waiter {
+    Waiter::Peer {
+        peer: peer.name.clone(),
+        request,
+    }
+}
--- /dev/null
+++ b/crates/mastknot_core/src/entry/rebuild.rs
@@ -0,0 +1,170 @@
+//! Rebuilding the answer of a lost holder from what the sides remember.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use super::entry_core::Waiter;
+use super::{EntryCore, EntryEffect};
+use crate::message::{
+    Digest, EntryMessage, FailReason, Ran, Refusal, RefusalReason, RememberedTask, Reply,
+    SubmissionAnswer, TaskOutcome, TaskResult,
+};
+use crate::types::{Moment, NodeName, Now, SubmissionKey};
+
+/// How long the sides may take to say what they remember.
+const PATIENCE: Duration = Duration::from_millis(500);
+
+/// A question to all sides about one submission.
+#[derive(Clone, Debug)]
+pub(super) struct Rebuild {
+    /// The digest of the resubmission; none if only the answer was asked for.
+    digest: Option<Digest>,
+    waiters: Vec<Waiter>,
+    found: BTreeMap<u16, RememberedTask>,
+    awaited: BTreeSet<NodeName>,
+    pub(super) until: Moment,
+}
+
+impl EntryCore {
+    /// An earlier holder that can't be asked may have run the submission: asks the sides.
+    pub(super) fn rebuild(
+        &mut self,
+        now: Now,
+        waiter: Waiter,
+        key: SubmissionKey,
+        digest: Option<Digest>,
+        out: &mut Vec<EntryEffect>,
+    ) {
+        if let Some(rebuild) = self.rebuilds.get_mut(&key) {
+            rebuild.waiters.push(waiter);
+            return;
+        }
+        let rebuild = Rebuild {
+            digest,
+            waiters: vec![waiter],
+            found: BTreeMap::new(),
+            awaited: self.sides.keys().cloned().collect(),
+            until: now.monotonic + PATIENCE,
+        };
+        for side in &rebuild.awaited {
+            out.push(EntryEffect::ToSide {
+                side: side.clone(),
+                message: EntryMessage::Recall { key },
+            });
+        }
+        self.rebuilds.insert(key, rebuild);
+        self.check_rebuild(now, key, out);
+    }
+
+    /// A side said what it remembers.
+    pub(super) fn remembered(
+        &mut self,
+        now: Now,
+        side: &NodeName,
+        key: SubmissionKey,
+        tasks: Vec<RememberedTask>,
+        out: &mut Vec<EntryEffect>,
+    ) {
+        let Some(rebuild) = self.rebuilds.get_mut(&key) else {
+            return;
+        };
+        rebuild.awaited.remove(side);
+        for remembered in tasks {
+            let is_done = matches!(remembered.outcome, Some(TaskOutcome::Done(_)));
+            let index = remembered.task.index;
+            if is_done || !rebuild.found.contains_key(&index) {
+                rebuild.found.insert(index, remembered);
+            }
+        }
+        self.check_rebuild(now, key, out);
+    }
+
+    pub(super) fn side_lost_in_rebuilds(
+        &mut self,
+        now: Now,
+        side: &NodeName,
+        out: &mut Vec<EntryEffect>,
+    ) {
+        let mut keys: Vec<SubmissionKey> = self.rebuilds.keys().copied().collect();
+        keys.sort_unstable();
+        for key in keys {
+            if let Some(rebuild) = self.rebuilds.get_mut(&key) {
+                rebuild.awaited.remove(side);
+            }
+            self.check_rebuild(now, key, out);
+        }
+    }
+
+    pub(super) fn end_due_rebuilds(&mut self, now: Now, out: &mut Vec<EntryEffect>) {
+        let due = |rebuild: &Rebuild| rebuild.until <= now.monotonic;
+        let mut keys: Vec<SubmissionKey> = self
+            .rebuilds
+            .iter()
+            .filter(|(_, rebuild)| due(rebuild))
+            .map(|(key, _)| *key)
+            .collect();
+        keys.sort_unstable();
+        for key in keys {
+            self.end_rebuild(key, out);
+        }
+    }
+
+    fn check_rebuild(&mut self, now: Now, key: SubmissionKey, out: &mut Vec<EntryEffect>) {
+        let Some(rebuild) = self.rebuilds.get(&key) else {
+            return;
+        };
+        let is_over = rebuild.awaited.is_empty() || rebuild.until <= now.monotonic;
+        if is_over || all_results(rebuild).is_some() {
+            self.end_rebuild(key, out);
+        }
+    }
+
+    fn end_rebuild(&mut self, key: SubmissionKey, out: &mut Vec<EntryEffect>) {
+        let Some(rebuild) = self.rebuilds.remove(&key) else {
+            return;
+        };
+        let original = rebuild.found.values().next().map(|task| task.digest);
+        let is_reused = rebuild.digest.zip(original).is_some_and(|(a, b)| a != b);
+        if is_reused {
+            let refusal = Refusal::not_run(RefusalReason::KeyReused);
+            return self.refuse_all(&rebuild.waiters, refusal, out);
+        }
+        let answer = match all_results(&rebuild) {
+            Some(results) => {
+                self.counters.rebuilt += 1;
+                SubmissionAnswer::Complete(results)
+            }
+            None => {
+                self.counters.rebuild_failed += 1;
+                SubmissionAnswer::Failed {
+                    reason: FailReason::HolderLost,
+                    ran: Ran::Unknown,
+                }
+            }
+        };
+        // The answer stands from now on, whatever turns up later.
+        if let Some(digest) = rebuild.digest.or(original) {
+            self.ledger.accept(key, digest);
+            self.ledger.finish(key, answer.clone());
+        }
+        for waiter in &rebuild.waiters {
+            self.reply(waiter, Reply::Answered(answer.clone()), out);
+        }
+    }
+
+    fn refuse_all(&mut self, waiters: &[Waiter], refusal: Refusal, out: &mut Vec<EntryEffect>) {
+        for waiter in waiters {
+            self.refuse(waiter, refusal.clone(), out);
+        }
+    }
+}
+
+/// The results of all tasks in order, if all are known.
+fn all_results(rebuild: &Rebuild) -> Option<Vec<TaskResult>> {
+    let count = rebuild.found.values().next()?.count;
+    let result = |index: u16| match &rebuild.found.get(&index)?.outcome {
+        Some(TaskOutcome::Done(result)) => Some(result.clone()),
+        _ => None,
+    };
+    (0..count).map(result).collect()
+}
--- /dev/null
+++ b/crates/mastknot_core/src/entry/stop.rs
@@ -0,0 +1,74 @@
+//! The planned stop: leave the roster, finish, hand over, end.
+
+use super::{EntryCore, EntryEffect};
+use crate::message::{HandoverRecord, PeerMessage};
+use crate::types::Now;
+
+/// Records in one hand-over message at most.
+const RECORDS_PER_MESSAGE: usize = 64;
+
+impl EntryCore {
+    /// Whether the entry is stopping by plan.
+    pub fn is_stopping(&self) -> bool {
+        self.is_stopping
+    }
+
+    pub(super) fn stop(&mut self, now: Now, out: &mut Vec<EntryEffect>) {
+        if self.is_stopping {
+            return;
+        }
+        self.is_stopping = true;
+        self.with_membership(now, out, |m, e| m.leave(now, e));
+    }
+
+    /// Ends the process once it is out of the roster and everyone has been answered.
+    pub(super) fn check_stopped(&mut self, now: Now, out: &mut Vec<EntryEffect>) {
+        if !self.is_stopping || self.has_stopped {
+            return;
+        }
+        let is_out = !self.membership.is_member() || self.is_alone();
+        let is_quiet = self.dispatcher.active() == 0
+            && self.forwards.is_empty()
+            && self.questions.is_empty()
+            && self.rebuilds.is_empty();
+        if !is_out || !is_quiet {
+            return;
+        }
+        self.has_stopped = true;
+        self.hand_over(now, out);
+        out.push(EntryEffect::Stopped);
+    }
+
+    /// Sends each finished submission to its new holder and tells all peers that this was all.
+    fn hand_over(&mut self, _now: Now, out: &mut Vec<EntryEffect>) {
+        let Some(roster) = self.membership.roster().cloned() else {
+            return;
+        };
+        let mut by_holder: std::collections::BTreeMap<_, Vec<HandoverRecord>> =
+            std::collections::BTreeMap::new();
+        for record in self.ledger.finished_records() {
+            if let Some(holder) = roster.holder(record.key) {
+                let name = holder.id.name.clone();
+                by_holder.entry(name).or_default().push(record);
+            }
+        }
+        for (peer, records) in by_holder {
+            for chunk in records.chunks(RECORDS_PER_MESSAGE) {
+                let message = PeerMessage::Handover {
+                    records: chunk.to_vec(),
+                    is_complete: false,
+                };
+                let peer = peer.clone();
+                out.push(EntryEffect::ToPeer { peer, message });
+            }
+        }
+        for peer in self.membership.connected() {
+            let message = PeerMessage::Handover {
+                records: Vec::new(),
+                is_complete: true,
+            };
+            let peer = peer.clone();
+            out.push(EntryEffect::ToPeer { peer, message });
+        }
+    }
+}
--- /dev/null
+++ b/crates/mastknot_core/src/lib.rs
@@ -0,0 +1,25 @@
+//! The decision cores of mastknot.
+//!
+//! No core does input or output and none reads a clock. Each takes an event with the time at
+//! which it is handled and returns effects: `step(now, event) -> effects`. The processes are thin
+//! shells around them, and the tests, the bench and embedders run the same code.
+//!
+//! - [`side`]: a target's slots, handed out as single-use credits
+//! - [`dispatch`]: queues, fairness, placement and early refusal at an entry
+//! - [`submission`]: the ledger that keeps a submission from starting twice
+//! - [`roster`]: which entry holds a key, and whether it may accept new ones
+//! - [`config`]: the configuration that every node has in force
+//! - [`entry`]: all of an entry's parts behind one `step`
+//!
+//! This crate has no feature flags.
+
+pub mod admission;
+pub mod config;
+pub mod decision;
+pub mod dispatch;
+pub mod entry;
+pub mod message;
+pub mod roster;
+pub mod side;
+pub mod submission;
+pub mod types;
--- /dev/null
+++ b/crates/mastknot_core/src/roster/mod.rs
@@ -0,0 +1,18 @@
+//! Which entry holds a key, and whether it may accept new ones.
+
+mod acceptance;
+mod member;
+mod membership;
+mod membership_effect;
+mod membership_settings;
+mod past_roster;
+mod peer_view;
+#[allow(clippy::module_inception)]
+mod roster;
+
+pub use acceptance::Acceptance;
+pub use member::{Member, MemberId};
+pub use membership::Membership;
+pub use membership_effect::{MembershipEffect, RosterWrite};
+pub use membership_settings::MembershipSettings;
+pub use roster::{PastMembers, Roster};
--- /dev/null
+++ b/crates/mastknot_core/src/submission/mod.rs
@@ -0,0 +1,7 @@
+//! The ledger of submissions: what keeps one from starting twice.
+
+mod ledger;
+mod ledger_settings;
+
+pub use ledger::{Ledger, Lookup};
+pub use ledger_settings::LedgerSettings;
--- /dev/null
+++ b/crates/mastknot_core/src/types/hall.rs
@@ -0,0 +1,31 @@
+use std::fmt;
+use std::sync::Arc;
+
+use bincode::{Decode, Encode};
+use serde::{Deserialize, Serialize};
+
+/// A hall: one failure zone of a region.
+#[derive(
+    Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Encode, Decode, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Hall(Arc<str>);
+
+impl Hall {
+    /// The name as text.
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+impl<T: AsRef<str>> From<T> for Hall {
+    fn from(text: T) -> Self {
+        Self(Arc::from(text.as_ref()))
+    }
+}
+
+impl fmt::Display for Hall {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
--- /dev/null
+++ b/crates/mastknot_entry/src/actor/mod.rs
@@ -0,0 +1,10 @@
+//! The actor that owns the entry's core.
+
+mod entry_actor;
+mod messages;
+
+pub(crate) use entry_actor::{EntryActor, EntryParts, Shared};
+pub(crate) use messages::{
+    Ask, Explain, FromPeer, FromSide, GetItem, GetLive, Input, Items, LinkDown, ListItems, Live,
+    LiveKind, PeerUp, SideUp, Submit,
+};
--- /dev/null
+++ b/crates/mastknot_entry/src/callers/mod.rs
@@ -0,0 +1,7 @@
+//! The callers' interface over HTTP.
+
+mod caller_api;
+mod job_request;
+mod rendering;
+
+pub(crate) use caller_api::{BadInput, CallerApi};
--- /dev/null
+++ b/crates/mastknot_entry/src/lib.rs
@@ -0,0 +1,16 @@
+//! The entry process: callers' HTTP, the operators' resource interface, queues and placement.
+//!
+//! This crate has no feature flags.
+
+mod actor;
+mod callers;
+mod error;
+mod node;
+mod operators;
+mod peers;
+mod platform;
+mod settings;
+
+pub use error::EntryError;
+pub use node::{EntryNode, StopReport};
+pub use settings::EntryFile;
--- /dev/null
+++ b/crates/mastknot_entry/src/main.rs
@@ -0,0 +1,94 @@
+//! `mastknot-entry`: one entry process.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use bpaf::{OptionParser, Parser, construct, long};
+use log::{error, info};
+use mastknot_entry::{EntryError, EntryFile, EntryNode, StopReport};
+use mastknot_runtime::{Signals, load_settings, start_logs};
+
+/// The exit code after a stop that cut submissions.
+const EXIT_CUT: u8 = 3;
+/// The exit code for bad settings.
+const EXIT_SETTINGS: u8 = 2;
+
+#[derive(Clone, Debug)]
+struct Options {
+    settings: PathBuf,
+    check_settings: bool,
+}
+
+fn options() -> OptionParser<Options> {
+    let settings = long("settings")
+        .short('s')
+        .help("Settings file (TOML); see examples/settings/entry.toml")
+        .argument::<PathBuf>("FILE");
+    let check_settings = long("check-settings")
+        .help("Check the settings file and start nothing")
+        .switch();
+    construct!(Options {
+        settings,
+        check_settings
+    })
+    .to_options()
+    .version(env!("CARGO_PKG_VERSION"))
+    .descr("Takes jobs and requests from callers, queues and places them")
+    .footer(
+        "Exit codes: 0 stopped by plan, 1 did not start, 2 bad settings, 3 submissions were cut",
+    )
+}
+
+async fn run(file: EntryFile) -> Result<ExitCode, EntryError> {
+    let mut signals = Signals::catch().map_err(|source| EntryError::Start {
+        part: "signals".to_owned(),
+        source,
+    })?;
+    let name = file.name.clone();
+    let entry = EntryNode::start(file).await?;
+    info!(entry = name.as_str(), callers:% = entry.callers_address(), operators:% = entry.operators_address(); "started");
+    signals.next().await;
+    info!(entry = name.as_str(); "stopping: leaving the roster, finishing what is in flight");
+    let report = tokio::select! {
+        report = entry.stop() => Some(report),
+        _ = signals.next() => None,
+    };
+    Ok(match report {
+        Some(StopReport { submissions_cut: 0 }) => {
+            info!(entry = name.as_str(); "stopped; nothing was cut");
+            ExitCode::SUCCESS
+        }
+        Some(StopReport { submissions_cut }) => {
+            error!(entry = name.as_str(), submissions_cut; "stopped at the deadline; submissions were cut");
+            ExitCode::from(EXIT_CUT)
+        }
+        None => {
+            error!(entry = name.as_str(); "ended by a second signal; submissions may have been cut");
+            ExitCode::from(EXIT_CUT)
+        }
+    })
+}
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let options = options().run();
+    let file: EntryFile = match load_settings(&options.settings) {
+        Ok(file) => file,
+        Err(error) => {
+            eprintln!("mastknot-entry: {error}");
+            return ExitCode::from(EXIT_SETTINGS);
+        }
+    };
+    if options.check_settings {
+        println!("{}: settings are good", options.settings.display());
+        return ExitCode::SUCCESS;
+    }
+    start_logs(&file.log);
+    match run(file).await {
+        Ok(code) => code,
+        Err(error) => {
+            eprintln!("mastknot-entry: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/mastknot_entry/src/node/mod.rs
@@ -0,0 +1,5 @@
+//! An entry as a part of a process.
+
+mod entry_node;
+
+pub use entry_node::{EntryNode, StopReport};
--- /dev/null
+++ b/crates/mastknot_entry/src/operators/resource.rs
@@ -0,0 +1,175 @@
+use mastknot_core::config::{Profile, Service, Team};
+use mastknot_core::message::ConfigItem;
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+use snafu::{OptionExt, ResultExt, Snafu};
+
+/// The kinds of stored resources.
+pub(crate) const KINDS: [&str; 4] = ["service", "team", "profile", "configuration"];
+/// The longest name of a resource.
+const MAX_NAME: usize = 128;
+/// The longest value of a resource as JSON, well below the store's limit of one megabyte.
+const MAX_VALUE_BYTES: usize = 65_536;
+
+/// A resource as operators read and write it.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct Resource {
+    pub(crate) kind: String,
+    pub(crate) name: String,
+    /// The version it had when it was read; zero for one that must not exist yet.
+    #[serde(default)]
+    pub(crate) version: u64,
+    /// Its value; none when it was deleted.
+    #[serde(default)]
+    pub(crate) value: Option<Value>,
+}
+
+impl From<&ConfigItem> for Resource {
+    fn from(item: &ConfigItem) -> Self {
+        let text = item.value.as_deref();
+        Self {
+            kind: item.resource.kind.to_string(),
+            name: item.resource.name.to_string(),
+            version: item.version,
+            value: text.and_then(|text| serde_json::from_str(text).ok()),
+        }
+    }
+}
+
+/// What is wrong with a resource that an operator wrote.
+#[derive(Debug, Snafu)]
+pub(crate) enum BadResource {
+    /// The kind does not exist.
+    #[snafu(display("unknown kind {kind:?}; the kinds are {}", KINDS.join(", ")))]
+    Kind { kind: String },
+    /// The name can't be used.
+    #[snafu(display("the name must have 1 to {MAX_NAME} bytes and no `/`"))]
+    Name,
+    /// The value is missing.
+    #[snafu(display("`value` is missing"))]
+    ValueMissing,
+    /// The value is too long.
+    #[snafu(display("`value` has {length} bytes, allowed are {MAX_VALUE_BYTES}"))]
+    TooLong { length: usize },
+    /// A field is unknown, missing or of the wrong type.
+    #[snafu(display("`value`: {source}"))]
+    Fields { source: serde_json::Error },
+    /// A field is out of its range.
+    #[snafu(display("`value.{field}` is {value}, allowed is {allowed}"))]
+    Range {
+        field: &'static str,
+        value: String,
+        allowed: &'static str,
+    },
+}
+
+fn check(
+    field: &'static str,
+    value: impl ToString,
+    allowed: &'static str,
+    is_good: bool,
+) -> Result<(), BadResource> {
+    let value = value.to_string();
+    is_good.then_some(()).context(RangeSnafu {
+        field,
+        value,
+        allowed,
+    })
+}
+
+/// Checks a kind and a name.
+pub(crate) fn check_name(kind: &str, name: &str) -> Result<(), BadResource> {
+    let is_known = KINDS.contains(&kind);
+    is_known.then_some(()).context(KindSnafu { kind })?;
+    let is_good = (1..=MAX_NAME).contains(&name.len()) && !name.contains('/');
+    is_good.then_some(()).context(NameSnafu)
+}
+
+/// Checks a resource whole.
+pub(crate) fn check_resource(resource: &Resource) -> Result<(), BadResource> {
+    check_name(&resource.kind, &resource.name)?;
+    let value = resource.value.as_ref().context(ValueMissingSnafu)?;
+    let length = value.to_string().len();
+    (length <= MAX_VALUE_BYTES)
+        .then_some(())
+        .context(TooLongSnafu { length })?;
+    match resource.kind.as_str() {
+        "service" => check_service(value),
+        "team" => check_team(value),
+        "profile" => check_profile(value),
+        _ => Ok(()),
+    }
+}
+
+fn check_service(value: &Value) -> Result<(), BadResource> {
+    let service = Service::deserialize(value).context(FieldsSnafu)?;
+    let path_is_good = service.path.starts_with('/') && service.path.parse::<http::Uri>().is_ok();
+    check(
+        "path",
+        &service.path,
+        "a path that begins with `/`",
+        path_is_good,
+    )?;
+    let deadline = service.max_deadline_ms;
+    let is_good = (1..=600_000).contains(&deadline);
+    check("max_deadline_ms", deadline, "1 to 600000", is_good)?;
+    let typical = service.typical_ms;
+    check(
+        "typical_ms",
+        typical,
+        "1 to 600000",
+        (1..=600_000).contains(&typical),
+    )
+}
+
+fn check_team(value: &Value) -> Result<(), BadResource> {
+    let team = Team::deserialize(value).context(FieldsSnafu)?;
+    check(
+        "quota",
+        team.quota,
+        "1 to 1000000",
+        (1..=1_000_000).contains(&team.quota),
+    )?;
+    check(
+        "weight",
+        team.weight,
+        "1 to 1000",
+        (1..=1_000).contains(&team.weight),
+    )
+}
+
+fn check_profile(value: &Value) -> Result<(), BadResource> {
+    let profile = Profile::deserialize(value).context(FieldsSnafu)?;
+    let keep = profile.keep_credits_percent;
+    check("keep_credits_percent", keep, "0 to 100", keep <= 100)?;
+    let ask = profile.ask_interval_ms;
+    check(
+        "ask_interval_ms",
+        ask,
+        "1 to 10000",
+        (1..=10_000).contains(&ask),
+    )?;
+    let reserve = profile.idle_reserve;
+    check("idle_reserve", reserve, "0 to 100000", reserve <= 100_000)?;
+    let budget = profile.retry_budget_percent;
+    check("retry_budget_percent", budget, "0 to 100", budget <= 100)?;
+    let hedge = profile.hedge_after_percent;
+    let is_good = hedge == 0 || (100..=10_000).contains(&hedge);
+    check("hedge_after_percent", hedge, "0, or 100 to 10000", is_good)
+}
+
+/// The fields whose values differ between two resources, as JSON pointers.
+pub(crate) fn changed_fields(before: Option<&Value>, after: Option<&Value>) -> Vec<String> {
+    let (Some(Value::Object(before)), Some(Value::Object(after))) = (before, after) else {
+        return vec!["/".to_owned()];
+    };
+    let names = before.keys().chain(after.keys());
+    let mut changed: Vec<String> = names
+        .filter(|name| before.get(*name) != after.get(*name))
+        .map(|name| format!("/{name}"))
+        .collect();
+    changed.sort();
+    changed.dedup();
+    changed
+}
--- /dev/null
+++ b/crates/mastknot_entry/src/platform/mod.rs
@@ -0,0 +1,11 @@
+//! The platform's store and VM list, as an entry uses them.
+
+mod config_feed;
+mod resource_writer;
+mod roster_store;
+mod vm_feed;
+
+pub(crate) use config_feed::{CONFIG_PREFIX, feed_config};
+pub(crate) use resource_writer::{WriteOutcome, write_resource};
+pub(crate) use roster_store::{read_roster, write_roster};
+pub(crate) use vm_feed::feed_vms;
--- /dev/null
+++ b/crates/mastknot_entry/src/settings/mod.rs
@@ -0,0 +1,5 @@
+//! The settings file of `mastknot-entry`.
+
+mod entry_file;
+
+pub use entry_file::EntryFile;
--- /dev/null
+++ b/crates/mastknot_runtime/src/http/mod.rs
@@ -0,0 +1,11 @@
+//! HTTP plumbing over `hyper`.
+
+mod body;
+mod client;
+mod server;
+
+pub use body::{
+    BodyError, ResponseBody, empty_response, json_response, read_body, stream_response,
+};
+pub use client::{HttpClient, plain_client};
+pub use server::{HttpServer, RequestParts};
--- /dev/null
+++ b/crates/mastknot_runtime/src/lib.rs
@@ -0,0 +1,30 @@
+//! Settings, logs, counters, HTTP and the platform's store, shared by the mastknot binaries.
+//!
+//! This crate has no feature flags.
+
+mod clock;
+mod http;
+mod logs;
+mod metrics;
+mod settings;
+mod signals;
+mod store;
+mod ticker;
+
+pub use clock::Clock;
+pub use http::{
+    BodyError, HttpServer, ResponseBody, empty_response, json_response, plain_client, read_body,
+    stream_response,
+};
+pub use http::{HttpClient, RequestParts};
+pub use logs::{LogFormat, LogSettings, start_logs};
+pub use metrics::{MetricsExporter, flatten_counters};
+pub use settings::{
+    CheckSettings, SettingsError, check_address, check_range, check_text, load_settings,
+};
+pub use signals::{Signals, StopSignal};
+pub use store::{
+    StoreCalls, StoreClient, StoreError, StoreReason, StoreWatch, StoredValue, SwapResult,
+    WatchEvent, WatchItem,
+};
+pub use ticker::Ticker;
--- /dev/null
+++ b/crates/mastknot_side/src/lib.rs
@@ -0,0 +1,13 @@
+//! The side process: grants its target's slots and runs tasks on it over HTTP.
+//!
+//! This crate has no feature flags.
+
+mod actor;
+mod error;
+mod node;
+mod settings;
+mod target;
+
+pub use error::SideError;
+pub use node::{SideNode, StopReport};
+pub use settings::SideFile;
--- /dev/null
+++ b/crates/mastknot_side/src/node/side_node.rs
@@ -0,0 +1,177 @@
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::{Request, Response, StatusCode};
+use hyper::body::Incoming;
+use kameo::actor::{ActorRef, Spawn};
+use mastknot_core::side::{SideCore, SideEvent};
+use mastknot_runtime::{
+    CheckSettings, Clock, HttpServer, MetricsExporter, ResponseBody, empty_response,
+    flatten_counters, json_response,
+};
+use mastknot_wire::LinkStats;
+use serde_json::{Value, json};
+use snafu::ResultExt;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+
+use crate::actor::{GetReport, Input, SideActor, SideParts};
+use crate::error::{ListenSnafu, SideError, StartSnafu};
+use crate::settings::SideFile;
+use crate::target::TargetClient;
+
+/// Messages that may wait for the actor.
+const MAILBOX: usize = 4_096;
+/// How often counters are sent.
+const EXPORT_INTERVAL: Duration = Duration::from_secs(10);
+/// How long the last answers may take to leave the process.
+const FLUSH_TIME: Duration = Duration::from_millis(200);
+
+/// How a planned stop ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StopReport {
+    /// Tasks that still ran when the process had to end; zero if nothing was cut.
+    pub tasks_cut: usize,
+}
+
+/// A running side.
+#[derive(Debug)]
+pub struct SideNode {
+    actor: ActorRef<SideActor>,
+    metrics: HttpServer,
+    exporter: JoinHandle<()>,
+    drained: watch::Receiver<bool>,
+    stop_deadline: Duration,
+}
+
+impl SideNode {
+    /// Starts a side; its settings are checked before anything is bound.
+    pub async fn start(file: SideFile) -> Result<Self, SideError> {
+        file.check()?;
+        let target = mastknot_runtime::check_address("target", &file.target)?;
+        let mut entries = Vec::new();
+        for entry in &file.entries {
+            entries.push(mastknot_runtime::check_address("entries", entry)?);
+        }
+        let listener = TcpListener::bind(&file.metrics_listen)
+            .await
+            .context(ListenSnafu {
+                key: "metrics_listen",
+                address: &file.metrics_listen,
+            })?;
+        let clock = Clock::start();
+        let stats: Arc<LinkStats> = Arc::default();
+        let (drained_sender, drained) = watch::channel(false);
+        let parts = SideParts {
+            core: SideCore::new(file.core_settings(clock.incarnation())),
+            clock,
+            target: TargetClient::new(target),
+            stats: Arc::clone(&stats),
+            drained: drained_sender,
+            entries,
+        };
+        let mailbox = kameo::mailbox::bounded(MAILBOX);
+        let actor = SideActor::spawn_with_mailbox(parts, mailbox);
+        let served = (actor.clone(), Arc::clone(&stats));
+        let metrics = HttpServer::start(listener, move |request| {
+            answer(served.0.clone(), Arc::clone(&served.1), request)
+        });
+        let metrics = metrics.context(StartSnafu { part: "metrics" })?;
+        let exporter = start_exporter(&file, actor.clone(), stats)?;
+        Ok(Self {
+            actor,
+            metrics,
+            exporter,
+            drained,
+            stop_deadline: Duration::from_millis(file.stop_deadline_ms),
+        })
+    }
+
+    /// The address at which counters are read.
+    pub fn metrics_address(&self) -> SocketAddr {
+        self.metrics.address()
+    }
+
+    /// Begins a planned stop: nothing new is granted, what runs goes on.
+    pub async fn drain(&self) {
+        let _ = self.actor.tell(Input(SideEvent::Drain)).await;
+    }
+
+    /// Ends by plan: waits until nothing runs, at most as long as the settings allow.
+    pub async fn stop(mut self) -> StopReport {
+        self.drain().await;
+        let drained = self.drained.wait_for(|is_drained| *is_drained);
+        let in_time = tokio::time::timeout(self.stop_deadline, drained).await;
+        let is_in_time = in_time.is_ok();
+        drop(in_time);
+        let tasks_cut = if is_in_time { 0 } else { self.running().await };
+        tokio::time::sleep(FLUSH_TIME).await;
+        self.abort().await;
+        StopReport { tasks_cut }
+    }
+
+    /// Tasks that run now.
+    pub async fn running(&self) -> usize {
+        let report = self.actor.ask(GetReport).await;
+        report.map_or(0, |report| report.running)
+    }
+
+    /// Ends at once, as a crash would.
+    pub async fn abort(self) {
+        self.exporter.abort();
+        self.metrics.abort();
+        self.actor.kill();
+        self.actor.wait_for_shutdown().await;
+    }
+}
+
+async fn counters(actor: &ActorRef<SideActor>, stats: &LinkStats) -> Option<Value> {
+    let report = actor.ask(GetReport).await.ok()?;
+    let mut value = serde_json::to_value(report).ok()?;
+    let links: serde_json::Map<String, Value> = stats
+        .counters()
+        .into_iter()
+        .map(|(name, count)| (name.to_owned(), json!(count)))
+        .collect();
+    value["links"] = Value::Object(links);
+    Some(value)
+}
+
+async fn answer(
+    actor: ActorRef<SideActor>,
+    stats: Arc<LinkStats>,
+    request: Request<Incoming>,
+) -> Response<ResponseBody> {
+    match request.uri().path() {
+        "/metrics" => match counters(&actor, &stats).await {
+            Some(counters) => json_response(StatusCode::OK, &counters),
+            None => empty_response(StatusCode::SERVICE_UNAVAILABLE),
+        },
+        "/health" => empty_response(StatusCode::OK),
+        _ => empty_response(StatusCode::NOT_FOUND),
+    }
+}
+
+fn start_exporter(
+    file: &SideFile,
+    actor: ActorRef<SideActor>,
+    stats: Arc<LinkStats>,
+) -> Result<JoinHandle<()>, SideError> {
+    let address = match &file.statsd {
+        Some(statsd) => Some(mastknot_runtime::check_address("statsd", statsd)?),
+        None => None,
+    };
+    let mut exporter =
+        MetricsExporter::new("mastknot.side", address).context(StartSnafu { part: "statsd" })?;
+    Ok(tokio::spawn(async move {
+        loop {
+            tokio::time::sleep(EXPORT_INTERVAL).await;
+            let Some(counters) = counters(&actor, &stats).await else {
+                return;
+            };
+            exporter.export(flatten_counters(&counters));
+        }
+    }))
+}
--- /dev/null
+++ b/crates/mastknot_side/src/settings/mod.rs
@@ -0,0 +1,5 @@
+//! The settings file of `mastknot-side`.
+
+mod side_file;
+
+pub use side_file::SideFile;
--- /dev/null
+++ b/crates/mastknot_standin/src/store/mod.rs
@@ -0,0 +1,9 @@
+//! The key-value service.
+
+mod faults;
+mod handler;
+mod state;
+mod store_stand_in;
+
+pub use faults::StoreFaults;
+pub use store_stand_in::StoreStandIn;
--- /dev/null
+++ b/crates/mastknot_wire/src/frame/mod.rs
@@ -0,0 +1,45 @@
+//! Frames: a length and the bincode bytes of one message.
+
+mod frame_decoder;
+mod wire_message;
+
+pub use frame_decoder::FrameDecoder;
+pub use wire_message::WireMessage;
+
+use bincode::{Decode, Encode};
+use bytes::{BufMut, BytesMut};
+use snafu::ResultExt;
+
+use crate::error::{DecodeSnafu, EncodeSnafu, FrameTooLongSnafu, LinkError};
+
+/// The longest frame that is read or written, in bytes.
+pub const MAX_FRAME_BYTES: usize = 16 * 1024 * 1024;
+
+/// The bytes of a frame's length.
+pub(crate) const LENGTH_BYTES: usize = 4;
+
+fn codec() -> impl bincode::config::Config {
+    bincode::config::standard().with_limit::<MAX_FRAME_BYTES>()
+}
+
+/// Appends the frame of a message; returns its length in bytes.
+pub fn encode_frame<M: Encode>(message: &M, buffer: &mut BytesMut) -> Result<usize, LinkError> {
+    let start = buffer.len();
+    buffer.put_u32(0);
+    let mut writer = (&mut *buffer).writer();
+    let length =
+        bincode::encode_into_std_write(message, &mut writer, codec()).context(EncodeSnafu)?;
+    if length > MAX_FRAME_BYTES {
+        buffer.truncate(start);
+        let limit = MAX_FRAME_BYTES;
+        return FrameTooLongSnafu { length, limit }.fail();
+    }
+    buffer[start..start + LENGTH_BYTES].copy_from_slice(&(length as u32).to_be_bytes());
+    Ok(LENGTH_BYTES + length)
+}
+
+/// Reads one message from the bytes of a frame without its length.
+pub fn decode_message<M: Decode<()>>(bytes: &[u8]) -> Result<M, LinkError> {
+    let (message, _) = bincode::decode_from_slice(bytes, codec()).context(DecodeSnafu)?;
+    Ok(message)
+}
--- /dev/null
+++ b/crates/mastknot_wire/src/link/link_receiver.rs
@@ -0,0 +1,59 @@
+use std::marker::PhantomData;
+use std::sync::Arc;
+
+use h2::RecvStream;
+use snafu::ResultExt;
+
+use super::LinkStats;
+use crate::error::{H2Snafu, LinkError};
+use crate::frame::{FrameDecoder, WireMessage};
+
+/// Receives messages from a link, in order.
+#[derive(Debug)]
+pub struct LinkReceiver<R> {
+    stream: RecvStream,
+    decoder: FrameDecoder,
+    stats: Arc<LinkStats>,
+    message: PhantomData<fn() -> R>,
+}
+
+impl<R: WireMessage> LinkReceiver<R> {
+    pub(crate) fn new(stream: RecvStream, stats: Arc<LinkStats>) -> Self {
+        Self {
+            stream,
+            decoder: FrameDecoder::default(),
+            stats,
+            message: PhantomData,
+        }
+    }
+
+    /// The next message; none when the other end has closed the link in order.
+    pub async fn receive(&mut self) -> Result<Option<R>, LinkError> {
+        loop {
+            if let Some((message, bytes)) = self.decoder.next::<R>()? {
+                self.stats.note_received(message.is_work(), bytes);
+                return Ok(Some(message));
+            }
+            let Some(data) = self.stream.data().await else {
+                return Ok(None);
+            };
+            let data = data.context(H2Snafu)?;
+            self.decoder.push(&data);
+            let flow = self.stream.flow_control();
+            flow.release_capacity(data.len()).context(H2Snafu)?;
+        }
+    }
+
+    /// All messages that have arrived, at least one; none when the link was closed in order.
+    pub async fn receive_many(&mut self) -> Result<Option<Vec<R>>, LinkError> {
+        let Some(first) = self.receive().await? else {
+            return Ok(None);
+        };
+        let mut messages = vec![first];
+        while let Some((message, bytes)) = self.decoder.next::<R>()? {
+            self.stats.note_received(message.is_work(), bytes);
+            messages.push(message);
+        }
+        Ok(Some(messages))
+    }
+}
