fix(entry): an idle peer is no longer voted out

Cause: silence for 1.5 s counts as a reason to leave a member out, and an entry with no work and no change sent its peers nothing at all. Change: every 500 ms an entry tells its peers the configuration version in force, changed or not; it is the heartbeat.

--- a/crates/mastknot_core/src/entry/peers.rs
+++ b/crates/mastknot_core/src/entry/peers.rs
@@ -135,17 +135,7 @@
         self.apply_teams();
         self.apply_profile();
         out.push(EntryEffect::ConfigAdvanced { version });
-        let message = PeerMessage::ConfigInForce {
-            version,
-            sides_at: 0,
-            sides: self.sides.len() as u32,
-        };
-        for peer in self.membership.connected() {
-            out.push(EntryEffect::ToPeer {
-                peer: peer.clone(),
-                message: message.clone(),
-            });
-        }
+        self.tell_peers(&self.config_in_force(), out);
         self.send_config_to_sides(now, out);
     }
 
@@ -168,12 +158,26 @@
         }
         self.gossip_at = now.monotonic;
         self.send_config_to_sides(now, out);
+        // A peer that says nothing for long is voted out, so this goes out changed or not.
+        self.tell_peers(&self.config_in_force(), out);
         let running = self.dispatcher.running_by_team();
-        if running == self.team_use_sent {
-            return;
+        if running != self.team_use_sent {
+            self.team_use_sent = running.clone();
+            self.tell_peers(&PeerMessage::TeamUse { running }, out);
         }
-        self.team_use_sent = running.clone();
-        let message = PeerMessage::TeamUse { running };
+    }
+
+    fn config_in_force(&self) -> PeerMessage {
+        let version = self.config.version();
+        let sides_at = self.sides.values().filter(|s| s.config_version >= version);
+        PeerMessage::ConfigInForce {
+            version,
+            sides_at: sides_at.count() as u32,
+            sides: self.sides.len() as u32,
+        }
+    }
+
+    fn tell_peers(&self, message: &PeerMessage, out: &mut Vec<EntryEffect>) {
         for peer in self.membership.connected() {
             out.push(EntryEffect::ToPeer {
                 peer: peer.clone(),
--- /dev/null
+++ b/crates/mastknot_virtual/src/store/mod.rs
@@ -0,0 +1,102 @@
+//! The fake of the platform's key-value service.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use mastknot_core::config::{StoredResource, WriteCall};
+use mastknot_core::message::{ConfigDelta, ConfigItem, ResourceName};
+use mastknot_core::roster::{Roster, RosterWrite};
+
+/// What the store does wrong.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct VirtualStoreFaults {
+    /// Calls fail, watches say nothing.
+    pub is_down: bool,
+    /// Each answer takes this much longer.
+    pub slow: Duration,
+    /// The answers of the next writes that take effect are lost.
+    pub lose_answers: u32,
+    /// Watches say nothing.
+    pub is_watch_silent: bool,
+    /// Lists answer from this many writes ago.
+    pub stale_writes: u64,
+}
+
+/// One versioned store with a roster and resources.
+#[derive(Clone, Debug, Default)]
+pub struct VirtualStore {
+    /// What it does wrong.
+    pub faults: VirtualStoreFaults,
+    /// Calls so far.
+    pub calls: u64,
+    revision: u64,
+    roster: Option<(u64, Roster)>,
+    writes: Vec<(u64, ResourceName, StoredResource)>,
+}
+
+impl VirtualStore {
+    /// The roster with its revision.
+    pub fn roster(&self) -> Option<(u64, Roster)> {
+        self.roster.clone()
+    }
+
+    /// Swaps the roster; an error says that another write came first.
+    pub fn write_roster(&mut self, write: RosterWrite) -> Result<u64, ()> {
+        let held = self.roster.as_ref().map_or(0, |(revision, _)| *revision);
+        if held != write.expected_revision {
+            return Err(());
+        }
+        self.revision += 1;
+        self.roster = Some((self.revision, write.roster));
+        Ok(self.revision)
+    }
+
+    /// Whether the answer of a write that took effect is lost.
+    pub fn loses_answer(&mut self) -> bool {
+        let loses = self.faults.lose_answers > 0;
+        self.faults.lose_answers = self.faults.lose_answers.saturating_sub(1);
+        loses
+    }
+
+    /// A resource with its revision.
+    pub fn resource(&self, name: &ResourceName) -> Option<(u64, StoredResource)> {
+        let found = self.writes.iter().rev().find(|(_, other, _)| other == name);
+        found.map(|(revision, _, resource)| (*revision, resource.clone()))
+    }
+
+    /// Swaps a resource.
+    pub fn write_resource(
+        &mut self,
+        name: &ResourceName,
+        expected_revision: u64,
+        resource: StoredResource,
+    ) -> WriteCall {
+        let held = self.resource(name).map_or(0, |(revision, _)| revision);
+        if held != expected_revision {
+            return WriteCall::NotSwapped;
+        }
+        self.revision += 1;
+        self.writes.push((self.revision, name.clone(), resource));
+        WriteCall::Swapped(self.revision)
+    }
+
+    /// The whole configuration, from `stale` writes ago.
+    pub fn list(&self, stale: u64) -> ConfigDelta {
+        let kept = self.writes.len().saturating_sub(stale as usize);
+        let mut latest: BTreeMap<ResourceName, ConfigItem> = BTreeMap::new();
+        for (version, resource, stored) in &self.writes[..kept] {
+            let value = stored.value.as_ref().map(|value| value.to_string().into());
+            let item = ConfigItem {
+                resource: resource.clone(),
+                version: *version,
+                value,
+            };
+            latest.insert(resource.clone(), item);
+        }
+        ConfigDelta {
+            base: 0,
+            version: latest.values().map(|item| item.version).max().unwrap_or(0),
+            items: latest.into_values().collect(),
+        }
+    }
+}
