--- a/crates/mastknot_core/src/entry/entry_event.rs
+++ b/crates/mastknot_core/src/entry/entry_event.rs
@@ -1,5 +1,5 @@
 use crate::message::{ConfigDelta, PeerMessage, SideMessage, Submission};
-use crate::roster::{MemberId, Roster};
+use crate::roster::{MemberId, Roster, WriteDecision};
 use crate::types::{Incarnation, Moment, NodeName, SubmissionKey};
 
 /// Matches a reply to a caller's request within one run of an entry.
@@ -81,10 +81,10 @@
     },
     /// The store did not answer a read of the roster.
     RosterReadFailed,
-    /// The store decided a write of the roster: its revision, or that another came first.
+    /// The store decided a write of the roster.
     RosterWritten {
-        /// The revision, or a failed comparison.
-        written: Result<u64, ()>,
+        /// What it decided.
+        written: WriteDecision,
     },
     /// Configuration from the store's watch or a consistent read.
     Config(ConfigDelta),
--- a/crates/mastknot_core/src/roster/membership.rs
+++ b/crates/mastknot_core/src/roster/membership.rs
@@ -5,6 +5,7 @@
 use super::peer_view::PeerView;
 use super::{
     Acceptance, Member, MemberId, MembershipEffect, MembershipSettings, Roster, RosterWrite,
+    WriteDecision,
 };
 use crate::message::PeerMessage;
 use crate::types::{Incarnation, Moment, NodeName, Now, SubmissionKey};
@@ -241,14 +242,14 @@
     pub fn roster_written(
         &mut self,
         now: Now,
-        written: Result<u64, ()>,
+        written: WriteDecision,
         out: &mut Vec<MembershipEffect>,
     ) {
         let Some(proposal) = &self.proposal else {
             return;
         };
         match written {
-            Ok(revision) => {
+            WriteDecision::Written(revision) => {
                 let roster = proposal.write.roster.clone();
                 if roster.version > self.version() {
                     self.revision = revision;
@@ -256,7 +257,7 @@
                 }
             }
             // Another change came first, or an earlier copy of this one did: the store knows.
-            Err(()) => self.read_now(now, out),
+            WriteDecision::Superseded => self.read_now(now, out),
         }
     }
 
--- a/crates/mastknot_core/src/roster/membership_effect.rs
+++ b/crates/mastknot_core/src/roster/membership_effect.rs
@@ -11,6 +11,15 @@
     pub roster: Roster,
 }
 
+/// What the store decided about a [`RosterWrite`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WriteDecision {
+    /// It took effect at this revision.
+    Written(u64),
+    /// Another write, or an earlier copy of this one, came first.
+    Superseded,
+}
+
 /// What the membership wants done.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum MembershipEffect {
--- a/crates/mastknot_core/src/roster/mod.rs
+++ b/crates/mastknot_core/src/roster/mod.rs
@@ -13,6 +13,6 @@
 pub use acceptance::Acceptance;
 pub use member::{Member, MemberId};
 pub use membership::Membership;
-pub use membership_effect::{MembershipEffect, RosterWrite};
+pub use membership_effect::{MembershipEffect, RosterWrite, WriteDecision};
 pub use membership_settings::MembershipSettings;
 pub use roster::{PastMembers, Roster};
--- a/crates/mastknot_entry/src/platform/roster_store.rs
+++ b/crates/mastknot_entry/src/platform/roster_store.rs
@@ -3,7 +3,7 @@
 use kameo::actor::ActorRef;
 use log::{debug, warn};
 use mastknot_core::entry::EntryEvent;
-use mastknot_core::roster::{Roster, RosterWrite};
+use mastknot_core::roster::{Roster, RosterWrite, WriteDecision};
 use mastknot_core::types::Moment;
 use mastknot_runtime::{StoreReason, StoredValue, SwapResult};
 
@@ -51,8 +51,8 @@
         .store
         .swap(reason, ROSTER_KEY, write.expected_revision, &value);
     let written = match swapped.await {
-        Ok(SwapResult::Swapped(revision)) => Ok(revision),
-        Ok(SwapResult::NotSwapped) => Err(()),
+        Ok(SwapResult::Swapped(revision)) => WriteDecision::Written(revision),
+        Ok(SwapResult::NotSwapped) => WriteDecision::Superseded,
         Err(error) => {
             debug!("no answer to a roster write: {error}");
             return;
--- a/crates/mastknot_virtual/src/store/mod.rs
+++ b/crates/mastknot_virtual/src/store/mod.rs
@@ -5,7 +5,7 @@
 
 use mastknot_core::config::{StoredResource, WriteCall};
 use mastknot_core::message::{ConfigDelta, ConfigItem, ResourceName};
-use mastknot_core::roster::{Roster, RosterWrite};
+use mastknot_core::roster::{Roster, RosterWrite, WriteDecision};
 
 /// What the store does wrong.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -40,15 +40,15 @@
         self.roster.clone()
     }
 
-    /// Swaps the roster; an error says that another write came first.
-    pub fn write_roster(&mut self, write: RosterWrite) -> Result<u64, ()> {
+    /// Swaps the roster.
+    pub fn write_roster(&mut self, write: RosterWrite) -> WriteDecision {
         let held = self.roster.as_ref().map_or(0, |(revision, _)| *revision);
         if held != write.expected_revision {
-            return Err(());
+            return WriteDecision::Superseded;
         }
         self.revision += 1;
         self.roster = Some((self.revision, write.roster));
-        Ok(self.revision)
+        WriteDecision::Written(self.revision)
     }
 
     /// Whether the answer of a write that took effect is lost.
--- a/crates/mastknot_virtual/src/system/virtual_system.rs
+++ b/crates/mastknot_virtual/src/system/virtual_system.rs
@@ -9,7 +9,7 @@
     EntryMessage, NotRunReason, PeerMessage, Reply, ResourceName, SideMessage, Submission,
     TaskOrder, TaskOutcome, TaskResult,
 };
-use mastknot_core::roster::{Member, MemberId, RosterWrite};
+use mastknot_core::roster::{Member, MemberId, RosterWrite, WriteDecision};
 use mastknot_core::side::{SideCore, SideEffect, SideEvent, SideSettings};
 use mastknot_core::types::{
     Hall, Incarnation, Moment, NodeName, Now, SubmissionKey, TaskId, WallTime,
@@ -285,7 +285,7 @@
         self.sides[side].links.insert(name.clone());
         let at = self.delivery(side_end(&self.sides[side]), entry_end(&self.entries[entry]));
         let event = SideEvent::EntryJoined { entry: name };
-        self.to_side_at(at, side, event);
+        self.at_side(at, side, event);
     }
 
     // ---- faults ----
@@ -304,14 +304,14 @@
                 let lost = EntryEvent::PeerLost { peer: id.clone() };
                 let dead = EntryEvent::PeerDead { peer: id.clone() };
                 let soon = self.now + self.delays.between_halls.as_micros() as u64;
-                self.to_entry_at(soon, other, lost);
-                self.to_entry_at(soon + NOTICE.as_micros() as u64, other, dead);
+                self.at_entry(soon, other, lost);
+                self.at_entry(soon + NOTICE.as_micros() as u64, other, dead);
             }
         }
         for side in 0..self.sides.len() {
             if self.sides[side].links.remove(&id.name) {
                 let entry = id.name.clone();
-                self.to_side_at(self.now + 1, side, SideEvent::EntryLeft { entry });
+                self.at_side(self.now + 1, side, SideEvent::EntryLeft { entry });
             }
         }
     }
@@ -329,7 +329,7 @@
                 side: name.clone(),
                 incarnation,
             };
-            self.to_entry_at(self.now + 1, entry, event);
+            self.at_entry(self.now + 1, entry, event);
         }
     }
 
@@ -428,18 +428,18 @@
             submission: self.requests[&request].submission.clone(),
             wait: true,
         };
-        self.to_entry_at(self.now, entry, EntryEvent::Caller { request, ask });
+        self.at_entry(self.now, entry, EntryEvent::Caller { request, ask });
     }
 
     /// Asks an entry to stop by plan.
     pub fn stop_entry(&mut self, entry: EntryIndex) {
-        self.to_entry_at(self.now, entry, EntryEvent::Stop);
+        self.at_entry(self.now, entry, EntryEvent::Stop);
     }
 
     /// Asks a side to leave.
     pub fn drain_side(&mut self, side: SideIndex) {
         self.sides[side].leaving_since = Some(self.now);
-        self.to_side_at(self.now, side, SideEvent::Drain);
+        self.at_side(self.now, side, SideEvent::Drain);
     }
 
     /// Writes a resource at once, as an operator would; returns the last step.
@@ -558,7 +558,7 @@
 
     // ---- entries ----
 
-    fn to_entry_at(&mut self, at: u64, entry: EntryIndex, event: EntryEvent) {
+    fn at_entry(&mut self, at: u64, entry: EntryIndex, event: EntryEvent) {
         let incarnation = self.entries[entry].incarnation();
         let event = Box::new(event);
         let action = Action::ToEntry {
@@ -664,7 +664,7 @@
                 found: self.store.roster(),
             }
         };
-        self.to_entry_at(at, index, event);
+        self.at_entry(at, index, event);
     }
 
     fn write_roster(&mut self, index: EntryIndex, write: RosterWrite) {
@@ -673,11 +673,11 @@
             return;
         }
         let written = self.store.write_roster(write);
-        if written.is_ok() && self.store.loses_answer() {
+        if matches!(written, WriteDecision::Written(_)) && self.store.loses_answer() {
             return;
         }
         let at = self.store_answer_at();
-        self.to_entry_at(at, index, EntryEvent::RosterWritten { written });
+        self.at_entry(at, index, EntryEvent::RosterWritten { written });
     }
 
     /// The configuration feed of an entry: a watch that may be silent, and a check behind it.
@@ -692,7 +692,7 @@
             if delta.version != self.entries[index].fed_version {
                 self.entries[index].fed_version = delta.version;
                 let at = self.store_answer_at();
-                self.to_entry_at(at, index, EntryEvent::Config(delta));
+                self.at_entry(at, index, EntryEvent::Config(delta));
             }
         }
         // A silent or broken watch leaves only the check.
@@ -762,7 +762,7 @@
         for at in self.arrivals(kind, at) {
             let entry = entry.clone();
             let message = message.clone();
-            self.to_side_at(at, to, SideEvent::FromEntry { entry, message });
+            self.at_side(at, to, SideEvent::FromEntry { entry, message });
         }
     }
 
@@ -782,7 +782,7 @@
                 incarnation,
                 message: message.clone(),
             };
-            self.to_entry_at(at, to, event);
+            self.at_entry(at, to, event);
         }
     }
 
@@ -797,8 +797,8 @@
             side: self.sides[side].settings.side.clone(),
             incarnation: self.sides[side].settings.incarnation,
         };
-        self.to_entry_at(at, entry, event);
-        self.to_side_at(at, side, SideEvent::EntryLeft { entry: name });
+        self.at_entry(at, entry, event);
+        self.at_side(at, side, SideEvent::EntryLeft { entry: name });
     }
 
     fn send_to_peer(&mut self, from: EntryIndex, to: EntryIndex, message: PeerMessage) {
@@ -809,7 +809,7 @@
         if self.is_cut(&a.1, &b.1) {
             let at = self.now + CUT_LIMIT.as_micros() as u64;
             let other = self.entries[to].settings.me.id.clone();
-            return self.to_entry_at(at, from, EntryEvent::PeerLost { peer: other });
+            return self.at_entry(at, from, EntryEvent::PeerLost { peer: other });
         }
         let at = self.delivery(a, b);
         for at in self.arrivals(kind, at) {
@@ -817,13 +817,13 @@
                 peer: peer.clone(),
                 message: message.clone(),
             };
-            self.to_entry_at(at, to, event);
+            self.at_entry(at, to, event);
         }
     }
 
     // ---- sides ----
 
-    fn to_side_at(&mut self, at: u64, side: SideIndex, event: SideEvent) {
+    fn at_side(&mut self, at: u64, side: SideIndex, event: SideEvent) {
         let incarnation = self.sides[side].settings.incarnation;
         let event = Box::new(event);
         let action = Action::ToSide {
@@ -895,7 +895,7 @@
                 if self.sides[index].runs.remove(&task).is_some() {
                     let outcome = TaskOutcome::Stopped;
                     let event = SideEvent::TaskEnded { task, outcome };
-                    self.to_side_at(self.now, index, event);
+                    self.at_side(self.now, index, event);
                 }
             }
         }
@@ -908,7 +908,7 @@
         if side.is_refusing {
             let outcome = TaskOutcome::NotRun(NotRunReason::TargetRefused);
             let event = SideEvent::TaskEnded { task, outcome };
-            return self.to_side_at(self.now, index, event);
+            return self.at_side(self.now, index, event);
         }
         let is_late = side
             .leaving_since
@@ -951,7 +951,7 @@
             TaskOutcome::Done(TaskResult { status: 200, body })
         };
         let event = SideEvent::TaskEnded { task, outcome };
-        self.to_side_at(self.now, index, event);
+        self.at_side(self.now, index, event);
     }
 }
 
