feat(cli): operators' command line and the demo

Cause: operators have no tool, and a newcomer has no way to see the system. Change: mastknot get, apply, delete, watch, wait, explain, drain, check, demo; a harness that runs stand-ins, entries and sides in one process on loopback ports with the same code as the separate processes.

--- /dev/null
+++ b/crates/mastknot_cli/src/commands/mod.rs
@@ -0,0 +1,94 @@
+//! The commands that talk to entries, and `check`.
+
+mod check;
+mod explain;
+mod resources;
+mod wait;
+mod watch;
+
+pub(crate) use check::check;
+pub(crate) use explain::sentence;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use http::StatusCode;
+use mastknot_client::{Answer, Client};
+use serde_json::json;
+
+use crate::error::CliError;
+use crate::exit::Exit;
+use crate::options::{Action, Format, Target};
+use crate::output::{print_json, print_table};
+
+/// How long a call to an entry may take.
+const CALL_LIMIT: Duration = Duration::from_secs(15);
+
+/// What every command has at hand.
+pub(crate) struct Session {
+    pub(crate) client: Client,
+    pub(crate) target: Target,
+}
+
+impl Session {
+    /// The entry that stored resources are read from and written through.
+    pub(crate) fn first(&self) -> SocketAddr {
+        self.target.entries[0]
+    }
+
+    pub(crate) fn print(&self, value: &serde_json::Value) {
+        match self.target.format {
+            Format::Json => print_json(value),
+            Format::Table => print_table(value),
+        }
+    }
+}
+
+/// Runs a command that talks to entries.
+pub(crate) async fn run(target: Target, action: Action) -> Result<Exit, CliError> {
+    let session = Session {
+        client: Client::new(CALL_LIMIT),
+        target,
+    };
+    match action {
+        Action::Get { kind, name } => resources::get(&session, &kind, name.as_deref()).await,
+        Action::Apply { file } => resources::apply(&session, &file).await,
+        Action::Delete { kind, name } => resources::delete(&session, &kind, &name).await,
+        Action::Watch { kind, from, count } => watch::watch(&session, &kind, from, count).await,
+        Action::Wait { version, timeout } => wait::wait(&session, version, timeout).await,
+        Action::Explain { key } => explain::explain(&session, &key).await,
+        Action::Drain { target } => drain(&session, &target).await,
+    }
+}
+
+async fn drain(session: &Session, target: &str) -> Result<Exit, CliError> {
+    let path = format!("/v1/targets/{target}/drain");
+    for entry in &session.target.entries {
+        let answer = session.client.post(*entry, &path, &json!({})).await?;
+        accepted(&answer)?;
+    }
+    session.print(&json!({ "target": target, "state": "draining" }));
+    Ok(Exit::Done)
+}
+
+/// Turns an entry's refusal into an error with its exit code.
+pub(crate) fn accepted(answer: &Answer) -> Result<(), CliError> {
+    if answer.status.is_success() {
+        return Ok(());
+    }
+    let exit = match answer.status {
+        StatusCode::CONFLICT => Exit::Conflict,
+        StatusCode::NOT_FOUND => Exit::NotFound,
+        StatusCode::GATEWAY_TIMEOUT => Exit::Undecided,
+        StatusCode::GONE => Exit::TooOld,
+        status if status.is_client_error() => Exit::NotAllowed,
+        _ => Exit::Unreachable,
+    };
+    let mut problem = format!("{}: {}", answer.text("error"), answer.text("problem"));
+    if exit == Exit::Conflict {
+        let version = &answer.body["current_version"];
+        let changed = &answer.body["changed"];
+        problem = format!("{problem} (now at version {version}, differs in {changed})");
+    }
+    Err(CliError::Refused { exit, problem })
+}
--- /dev/null
+++ b/crates/mastknot_cli/src/main.rs
@@ -0,0 +1,29 @@
+//! `mastknot`: the operators' command line, and the demo.
+
+mod commands;
+mod demo;
+mod error;
+mod exit;
+mod options;
+mod output;
+
+use std::process::ExitCode;
+
+use options::{Command, options};
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let command = options().run();
+    let done = match command {
+        Command::Check(check) => commands::check(&check),
+        Command::Demo(demo) => demo::run(demo).await,
+        Command::Remote { target, action } => commands::run(target, action).await,
+    };
+    match done {
+        Ok(exit) => exit.into(),
+        Err(error) => {
+            eprintln!("mastknot: {error}");
+            error.exit().into()
+        }
+    }
+}
--- /dev/null
+++ b/crates/mastknot_cli/src/options/command.rs
@@ -0,0 +1,104 @@
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::str::FromStr;
+use std::time::Duration;
+
+/// How results are printed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Format {
+    Table,
+    Json,
+}
+
+impl FromStr for Format {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        match text {
+            "table" => Ok(Self::Table),
+            "json" => Ok(Self::Json),
+            _ => Err(format!(
+                "{text:?} is no format; the formats are table, json"
+            )),
+        }
+    }
+}
+
+/// Which binary a settings file is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum SettingsKind {
+    Entry,
+    Side,
+}
+
+impl FromStr for SettingsKind {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        match text {
+            "entry" => Ok(Self::Entry),
+            "side" => Ok(Self::Side),
+            _ => Err(format!("{text:?} has no settings; choose entry or side")),
+        }
+    }
+}
+
+/// Which entries are asked, and how the answer is printed.
+#[derive(Clone, Debug)]
+pub(crate) struct Target {
+    pub(crate) entries: Vec<SocketAddr>,
+    pub(crate) format: Format,
+}
+
+/// `mastknot check`.
+#[derive(Clone, Debug)]
+pub(crate) struct Check {
+    pub(crate) kind: SettingsKind,
+    pub(crate) file: PathBuf,
+}
+
+/// `mastknot demo`.
+#[derive(Clone, Debug)]
+pub(crate) struct Demo {
+    pub(crate) json: bool,
+    pub(crate) keep: bool,
+}
+
+/// A command that talks to entries.
+#[derive(Clone, Debug)]
+pub(crate) enum Action {
+    Get {
+        kind: String,
+        name: Option<String>,
+    },
+    Apply {
+        file: PathBuf,
+    },
+    Delete {
+        kind: String,
+        name: String,
+    },
+    Watch {
+        kind: String,
+        from: Option<u64>,
+        count: Option<u64>,
+    },
+    Wait {
+        version: Option<u64>,
+        timeout: Duration,
+    },
+    Explain {
+        key: String,
+    },
+    Drain {
+        target: String,
+    },
+}
+
+/// One command.
+#[derive(Clone, Debug)]
+pub(crate) enum Command {
+    Remote { target: Target, action: Action },
+    Check(Check),
+    Demo(Demo),
+}
--- /dev/null
+++ b/crates/mastknot_cli/src/options/mod.rs
@@ -0,0 +1,7 @@
+//! The command line.
+
+mod command;
+mod parse;
+
+pub(crate) use command::{Action, Check, Command, Demo, Format, SettingsKind, Target};
+pub(crate) use parse::options;
--- /dev/null
+++ b/crates/mastknot_client/src/client.rs
@@ -0,0 +1,133 @@
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Method, Request, Response, header};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use mastknot_runtime::{HttpClient, plain_client, read_body};
+use serde_json::Value;
+use snafu::ResultExt;
+
+use crate::error::{MalformedSnafu, RequestSnafu};
+use crate::{Answer, ClientError, Watch};
+
+/// The longest that a connection may take.
+const CONNECT_LIMIT: Duration = Duration::from_secs(2);
+/// The longest answer.
+const MAX_ANSWER_BYTES: usize = 64 * 1024 * 1024;
+
+/// A client of entries with kept connections. It repeats nothing by itself.
+#[derive(Clone, Debug)]
+pub struct Client {
+    http: HttpClient,
+    limit: Duration,
+}
+
+impl Client {
+    /// A client that gives up on an answer after `limit`.
+    pub fn new(limit: Duration) -> Self {
+        Self {
+            http: plain_client(CONNECT_LIMIT),
+            limit,
+        }
+    }
+
+    /// Reads a path.
+    pub async fn get(&self, address: SocketAddr, path: &str) -> Result<Answer, ClientError> {
+        self.call(address, Method::GET, path, None).await
+    }
+
+    /// Posts a JSON body.
+    pub async fn post(
+        &self,
+        address: SocketAddr,
+        path: &str,
+        body: &Value,
+    ) -> Result<Answer, ClientError> {
+        self.call(address, Method::POST, path, Some(body)).await
+    }
+
+    /// Puts a JSON body.
+    pub async fn put(
+        &self,
+        address: SocketAddr,
+        path: &str,
+        body: &Value,
+    ) -> Result<Answer, ClientError> {
+        self.call(address, Method::PUT, path, Some(body)).await
+    }
+
+    /// Deletes a path.
+    pub async fn delete(&self, address: SocketAddr, path: &str) -> Result<Answer, ClientError> {
+        self.call(address, Method::DELETE, path, None).await
+    }
+
+    /// Opens a watch: a body that goes on.
+    pub async fn watch(&self, address: SocketAddr, path: &str) -> Result<Watch, ClientError> {
+        let response = self.send(address, Method::GET, path, None).await?;
+        Ok(Watch::new(address, response))
+    }
+
+    async fn call(
+        &self,
+        address: SocketAddr,
+        method: Method,
+        path: &str,
+        body: Option<&Value>,
+    ) -> Result<Answer, ClientError> {
+        let called = self.try_call(address, method, path, body);
+        match tokio::time::timeout(self.limit, called).await {
+            Ok(answer) => answer,
+            Err(_) => Err(ClientError::Timeout {
+                address: address.to_string(),
+            }),
+        }
+    }
+
+    async fn try_call(
+        &self,
+        address: SocketAddr,
+        method: Method,
+        path: &str,
+        body: Option<&Value>,
+    ) -> Result<Answer, ClientError> {
+        let response = self.send(address, method, path, body).await?;
+        let status = response.status();
+        let bytes = read_body(response.into_body(), MAX_ANSWER_BYTES, self.limit).await;
+        let address = address.to_string();
+        let Ok(bytes) = bytes else {
+            return Err(ClientError::CutShort { address });
+        };
+        let body = if bytes.is_empty() {
+            Value::Null
+        } else {
+            serde_json::from_slice(&bytes).context(MalformedSnafu { address })?
+        };
+        Ok(Answer { status, body })
+    }
+
+    async fn send(
+        &self,
+        address: SocketAddr,
+        method: Method,
+        path: &str,
+        body: Option<&Value>,
+    ) -> Result<Response<Incoming>, ClientError> {
+        let bytes = body.map(|body| Bytes::from(body.to_string()));
+        let request = Request::builder()
+            .method(method)
+            .uri(format!("http://{address}{path}"))
+            .header(header::CONTENT_TYPE, "application/json")
+            .body(Full::new(bytes.unwrap_or_default()))
+            .context(RequestSnafu)?;
+        let address = address.to_string();
+        self.http.request(request).await.map_err(|source| {
+            if source.is_connect() {
+                ClientError::NotConnected { address, source }
+            } else {
+                ClientError::Broken { address, source }
+            }
+        })
+    }
+}
--- /dev/null
+++ b/crates/mastknot_client/src/lib.rs
@@ -0,0 +1,13 @@
+//! Clients of the callers' and the operators' interfaces of an entry.
+//!
+//! This crate has no feature flags.
+
+mod answer;
+mod client;
+mod error;
+mod watch;
+
+pub use answer::Answer;
+pub use client::Client;
+pub use error::ClientError;
+pub use watch::Watch;
--- /dev/null
+++ b/crates/mastknot_harness/src/error.rs
@@ -0,0 +1,53 @@
+//! What can go wrong when a system starts.
+
+use mastknot_client::ClientError;
+use mastknot_entry::EntryError;
+use mastknot_side::SideError;
+use mastknot_standin::StandInError;
+use snafu::Snafu;
+
+/// Why a system did not start.
+#[derive(Debug, Snafu)]
+#[snafu(visibility(pub(crate)))]
+pub enum HarnessError {
+    /// A stand-in did not start.
+    #[snafu(display("{source}"), context(false))]
+    StandIn {
+        /// Why.
+        source: StandInError,
+    },
+    /// An entry did not start.
+    #[snafu(display("{source}"), context(false))]
+    Entry {
+        /// Why.
+        source: EntryError,
+    },
+    /// A side did not start.
+    #[snafu(display("{source}"), context(false))]
+    Side {
+        /// Why.
+        source: SideError,
+    },
+    /// A call to an entry failed.
+    #[snafu(display("{source}"), context(false))]
+    Client {
+        /// Why.
+        source: ClientError,
+    },
+    /// A resource was not accepted.
+    #[snafu(display("{kind}/{name} was not accepted: {problem}"))]
+    NotAccepted {
+        /// The resource's kind.
+        kind: String,
+        /// The resource's name.
+        name: String,
+        /// What the entry said.
+        problem: String,
+    },
+    /// The system did not settle in time.
+    #[snafu(display("the system did not settle: {what}"))]
+    NotSettled {
+        /// What was waited for.
+        what: String,
+    },
+}
