feat(load): dispatch overhead and throughput over real sockets

Cause: nothing measures what dispatching costs. Change: mastknot-load overhead (direct and dispatched calls in turns, A B A B) and throughput (jobs kept in flight against a self-hosted system).

--- a/crates/mastknot_entry/src/callers/caller_api.rs
+++ b/crates/mastknot_entry/src/callers/caller_api.rs
@@ -15,7 +15,7 @@
 use serde_json::json;
 use tokio::sync::oneshot;
 
-use super::job_request::{BadRequest, Parsed, parse_job, parse_request};
+use super::job_request::{BadRequest, Parsed, parse_job, parse_request, parse_request_as};
 use super::rendering::render;
 use crate::actor::{EntryActor, GetItem, Submit};
 
@@ -80,10 +80,15 @@
             Ok(bytes) => bytes,
             Err(response) => return response,
         };
-        let may_lack_key = self.is_repeatable(service).await;
-        let wall = self.clock.now().wall;
-        self.submit(parse_request(&bytes, service, may_lack_key, wall))
-            .await
+        let parsed = match parse_request(&bytes, service) {
+            // Only a request that may run twice can do without a key.
+            Err(BadRequest::KeyMissing) if self.is_repeatable(service).await => {
+                let key = SubmissionKey::new(self.clock.now().wall, rand::random());
+                parse_request_as(&bytes, service, Some(key))
+            }
+            parsed => parsed,
+        };
+        self.submit(parsed).await
     }
 
     async fn is_repeatable(&self, service: &str) -> bool {
--- a/crates/mastknot_entry/src/callers/job_request.rs
+++ b/crates/mastknot_entry/src/callers/job_request.rs
@@ -1,5 +1,5 @@
 use mastknot_core::message::{Payload, Submission, SubmissionKind};
-use mastknot_core::types::{KeyError, NodeName, SubmissionKey, WallTime};
+use mastknot_core::types::{KeyError, NodeName, SubmissionKey};
 use serde::Deserialize;
 use serde_json::value::RawValue;
 use snafu::{OptionExt, ResultExt, Snafu};
@@ -95,22 +95,23 @@
     })
 }
 
-/// Reads a service request; one without a key gets one, if it `may_lack_key`.
-pub(crate) fn parse_request(
+/// Reads a service request.
+pub(crate) fn parse_request(bytes: &[u8], service: &str) -> Result<Parsed, BadRequest> {
+    parse_request_as(bytes, service, None)
+}
+
+/// Reads a service request; one without a key gets `fallback`.
+pub(crate) fn parse_request_as(
     bytes: &[u8],
     service: &str,
-    may_lack_key: bool,
-    wall: WallTime,
+    fallback: Option<SubmissionKey>,
 ) -> Result<Parsed, BadRequest> {
     let body: RequestBody<'_> = serde_json::from_slice(bytes).context(JsonSnafu)?;
-    let key: SubmissionKey = match body.key {
-        Some(key) => key.parse().context(KeySnafu)?,
-        None if may_lack_key => SubmissionKey::new(wall, rand::random()),
-        None => return KeyMissingSnafu.fail(),
-    };
+    let given = body.key.map(|key| key.parse()).transpose();
+    let key = given.context(KeySnafu)?.or(fallback);
     Ok(Parsed {
         submission: Submission {
-            key,
+            key: key.context(KeyMissingSnafu)?,
             kind: SubmissionKind::Request,
             team: name("team", &body.team)?,
             customer: name("customer", &body.customer)?,
--- /dev/null
+++ b/crates/mastknot_load/src/lib.rs
@@ -0,0 +1,12 @@
+//! Bounded load, comparisons of policies, slopes and faults.
+//!
+//! This crate has no feature flags.
+
+mod error;
+mod keys;
+mod overhead;
+mod throughput;
+
+pub use error::LoadError;
+pub use overhead::{OverheadPlan, OverheadReport, measure_overhead};
+pub use throughput::{ThroughputPlan, ThroughputReport, measure_throughput};
