perf(runtime): do not wake the timer for a later deadline

Cause: each step moved the core's next deadline a little, which woke the ticker's task, and with it a thread, several times a request. Change: a deadline that moves later leaves the timer alone; it fires early once and the core names the next one.

--- a/crates/mastknot_runtime/src/ticker/mod.rs
+++ b/crates/mastknot_runtime/src/ticker/mod.rs
@@ -9,8 +9,12 @@
 use crate::Clock;
 
 /// A timer with one deadline that can be moved.
+///
+/// A deadline that moves later is not worth waking the timer's task for: it fires once too early,
+/// and the core names the next deadline then.
 #[derive(Debug)]
 pub struct Ticker {
+    clock: Clock,
     due: watch::Sender<Option<Moment>>,
     task: JoinHandle<()>,
 }
@@ -24,15 +28,20 @@
     {
         let (due, moved) = watch::channel(None);
         let task = tokio::spawn(run(clock, moved, tick));
-        Self { due, task }
+        Self { clock, due, task }
     }
 
     /// Moves the deadline.
     pub fn set(&self, due: Option<Moment>) {
+        let now = self.clock.monotonic();
         self.due.send_if_modified(|held| {
-            let is_moved = *held != due;
+            let is_soon_enough = held.is_some_and(|at| at > now && due.is_none_or(|due| at <= due));
+            // A deadline that has passed is set again: the tick for it may have come too early.
+            if is_soon_enough || (held.is_none() && due.is_none()) {
+                return false;
+            }
             *held = due;
-            is_moved
+            true
         });
     }
 }
