feat(load): policies compared on the same arrivals in virtual time

Cause: the decisions are the product, and nothing measures them. Change: mastknot-load compare runs the real cores (credits) and the baselines random, least-reported, two-probes in turns on the same open-loop arrivals, against an omniscient central queue (shortest remaining first, no delay).

--- a/crates/mastknot_core/src/entry/entry_core.rs
+++ b/crates/mastknot_core/src/entry/entry_core.rs
@@ -74,7 +74,8 @@
         Self {
             membership: Membership::new(settings.me.clone(), settings.membership),
             ledger: Ledger::new(settings.ledger),
-            dispatcher: Dispatcher::new(hall, settings.profile.clone(), settings.max_waiting),
+            dispatcher: Dispatcher::new(hall, settings.profile.clone(), settings.max_waiting)
+                .job_order(settings.job_order),
             config: ConfigReplica::default(),
             decisions: DecisionLog::new(settings.decisions),
             counters: EntryCounters::default(),
--- a/crates/mastknot_core/src/entry/entry_settings.rs
+++ b/crates/mastknot_core/src/entry/entry_settings.rs
@@ -1,4 +1,5 @@
 use crate::config::Profile;
+use crate::dispatch::JobOrder;
 use crate::roster::{Member, MembershipSettings};
 use crate::submission::LedgerSettings;
 
@@ -20,6 +21,8 @@
     pub membership: MembershipSettings,
     /// The bounds of the ledger.
     pub ledger: LedgerSettings,
+    /// The order of a customer's submissions.
+    pub job_order: JobOrder,
     /// Tasks that wait at most.
     pub max_waiting: u32,
     /// Tasks in one job at most.
@@ -36,6 +39,7 @@
             profile: Profile::default(),
             membership: MembershipSettings::default(),
             ledger: LedgerSettings::default(),
+            job_order: JobOrder::default(),
             max_waiting: DEFAULT_MAX_WAITING,
             max_tasks: DEFAULT_MAX_TASKS,
             decisions: DEFAULT_DECISIONS,
--- /dev/null
+++ b/crates/mastknot_load/src/bench/arms/credits.rs
@@ -0,0 +1,99 @@
+//! The real cores in virtual time.
+
+use std::time::Duration;
+
+use mastknot_core::config::Profile;
+use mastknot_core::dispatch::{DispatchCounters, JobOrder};
+use mastknot_core::message::{Reply, SubmissionAnswer};
+use mastknot_core::types::SubmissionKey;
+use mastknot_virtual::{MessageKind, VirtualSystem};
+
+use super::super::{BenchProfile, Outcome, Workload};
+
+/// How long rosters and configuration settle before arrivals come.
+const SETTLE: Duration = Duration::from_secs(5);
+/// How long after the last arrival answers are waited for.
+const TAIL: Duration = Duration::from_secs(40);
+
+/// What the real cores did with a workload.
+#[derive(Debug)]
+pub(crate) struct CreditsRun {
+    pub(crate) outcomes: Vec<Outcome>,
+    pub(crate) starts: u64,
+    pub(crate) messages: u64,
+    pub(crate) by_kind: Vec<(MessageKind, u64)>,
+    pub(crate) refused: u64,
+    pub(crate) counters: Vec<DispatchCounters>,
+    pub(crate) violations: usize,
+}
+
+/// Runs a workload through entries and sides.
+pub(crate) fn run_credits(
+    profile: BenchProfile,
+    policy: &Profile,
+    order: JobOrder,
+    sides: usize,
+    slots: u16,
+    workload: &Workload,
+    entries: usize,
+) -> CreditsRun {
+    let mut system = VirtualSystem::new(profile.delays(), 1);
+    for index in 0..entries {
+        let policy = policy.clone();
+        system.add_entry(&format!("hall-{}", index % profile.halls() + 1), |settings| {
+            let mut settings = settings.profile(policy);
+            settings.job_order = order;
+            settings
+        });
+    }
+    for index in 0..sides {
+        system.add_side(&format!("hall-{}", index % profile.halls() + 1), slots);
+    }
+    system.write_resource("service", "run", r#"{"path":"/run","typical_ms":130}"#);
+    system.run_for(SETTLE);
+    let before = system.messages.clone();
+    let start = system.now();
+    let last = workload.arrivals.last().map_or(0, |arrival| arrival.at);
+    let mut requests = Vec::new();
+    for arrival in &workload.arrivals {
+        let mut submission = arrival.submission.clone();
+        let at = start + arrival.at;
+        // The key is made when it is sent, by the caller's clock.
+        submission.key = SubmissionKey::new(system.wall_at(at), u128_of(submission.key));
+        requests.push(system.submit_at(at, arrival.entry, submission));
+    }
+    system.run_for(Duration::from_micros(last) + TAIL);
+    let mut refused = 0;
+    let outcome = |request: &u64| {
+        let submitted = system.request(*request);
+        let reply = submitted.reply.as_ref();
+        refused += u64::from(matches!(reply, Some((_, Reply::Refused(_)))));
+        let response = reply.and_then(|(at, reply)| match reply {
+            Reply::Answered(SubmissionAnswer::Complete(_)) => Some(at - submitted.sent_at),
+            _ => None,
+        });
+        Outcome { response }
+    };
+    let outcomes: Vec<Outcome> = requests.iter().map(outcome).collect();
+    let by_kind: Vec<(MessageKind, u64)> = system
+        .messages
+        .iter()
+        .map(|(kind, count)| (kind, count - before.of(kind)))
+        .collect();
+    CreditsRun {
+        outcomes,
+        starts: system.audit.total_starts(),
+        messages: by_kind.iter().map(|(_, count)| count).sum(),
+        by_kind,
+        refused,
+        counters: (0..entries)
+            .filter_map(|index| system.entry(index))
+            .map(|core| core.dispatch_counters())
+            .collect(),
+        violations: system.audit.violations().len(),
+    }
+}
+
+fn u128_of(key: SubmissionKey) -> u128 {
+    u128::from_be_bytes(key.to_bytes())
+}
--- a/crates/mastknot_load/src/main.rs
+++ b/crates/mastknot_load/src/main.rs
@@ -4,7 +4,8 @@
 
 use bpaf::{OptionParser, Parser, construct, long};
 use mastknot_load::{
-    LoadError, OverheadPlan, ThroughputPlan, measure_overhead, measure_throughput,
+    Arm, Baseline, BenchProfile, ComparePlan, LoadError, OverheadPlan, ThroughputPlan, compare, format_table,
+    measure_overhead, measure_throughput,
 };
 use serde::Serialize;
 
@@ -12,6 +13,7 @@
 enum Command {
     Overhead(OverheadPlan),
     Throughput(ThroughputPlan),
+    Compare { plan: ComparePlan, json: bool },
 }
 
 fn number<T>(name: &'static str, help: &'static str, fallback: T) -> impl Parser<T>
@@ -55,9 +57,77 @@
     .command("throughput")
 }
 
+/// All arms, for a comparison that names none.
+const ALL_ARMS: [Arm; 5] = [
+    Arm::Credits,
+    Arm::Pushed(Baseline::Random),
+    Arm::Pushed(Baseline::LeastReported),
+    Arm::Pushed(Baseline::TwoProbes),
+    Arm::Pushed(Baseline::Omniscient),
+];
+
+fn list<T>(text: &str) -> Result<Vec<T>, String>
+where
+    T: std::str::FromStr,
+    T::Err: std::fmt::Display,
+{
+    let parts = text.split(',').map(|part| part.trim().parse::<T>());
+    parts.collect::<Result<Vec<T>, _>>().map_err(|e| e.to_string())
+}
+
+fn compare_options() -> impl Parser<Command> {
+    let profile = long("profile")
+        .help("kalahari or co-op [kalahari]")
+        .argument::<BenchProfile>("NAME")
+        .fallback(BenchProfile::Kalahari);
+    let arms = long("policies")
+        .help("credits, random, least-reported, two-probes, omniscient [all]")
+        .argument::<String>("LIST")
+        .parse(|text| list::<Arm>(&text))
+        .fallback(ALL_ARMS.to_vec());
+    let seeds = long("seeds")
+        .help("Seeds of the arrivals [1,2,3,4,5]")
+        .argument::<String>("LIST")
+        .parse(|text| list::<u64>(&text))
+        .fallback(vec![1, 2, 3, 4, 5]);
+    let load = number("load", "Load as a share of the slots [0.75]", 0.75);
+    let seconds = number("seconds", "How long arrivals come [120]", 120);
+    let entries = number("entries", "Entries [2]", 2);
+    let sides = number("sides", "Sides [12]", 12);
+    let slots = number("slots", "Slots of each side [8]", 8);
+    let share = number("first-entry-share", "Share of arrivals at the first entry [0.5]", 0.5);
+    let max_job = number("max-job", "Tasks of the largest job [1000]", 1_000);
+    let deadline = number("deadline-ms", "Deadline of submissions [30000]", 0);
+    let json = long("json").help("Print one JSON object a run").switch();
+    construct!(
+        profile, arms, seeds, load, seconds, entries, sides, slots, share, max_job, deadline, json
+    )
+    .map(
+        |(profile, arms, seeds, load, seconds, entries, sides, slots, share, max_job, deadline, json)| {
+            let plan = ComparePlan {
+                arms,
+                seeds,
+                load,
+                seconds,
+                entries,
+                sides,
+                slots,
+                first_entry_share: share,
+                max_job,
+                deadline_ms: deadline,
+                ..ComparePlan::new(profile)
+            };
+            Command::Compare { plan, json }
+        },
+    )
+    .to_options()
+    .descr("Policies on the same arrivals, interleaved, in virtual time")
+    .command("compare")
+}
+
 fn options() -> OptionParser<Command> {
-    let (overhead, throughput) = (overhead(), throughput());
-    construct!([overhead, throughput])
+    let (overhead, throughput, compare) = (overhead(), throughput(), compare_options());
+    construct!([overhead, throughput, compare])
         .to_options()
         .version(env!("CARGO_PKG_VERSION"))
         .descr("Measure mastknot; every run is bounded in time and count and stays on loopback")
@@ -71,6 +141,14 @@
 async fn run(command: Command) -> Result<(), LoadError> {
     match command {
         Command::Overhead(plan) => print(&measure_overhead(plan).await?),
+        Command::Compare { plan, json } => {
+            let reports = compare(&plan);
+            if json {
+                reports.iter().for_each(print);
+            } else {
+                println!("{}", format_table(&reports));
+            }
+        }
         Command::Throughput(plan) => print(&measure_throughput(plan).await?),
     }
     Ok(())
--- a/crates/mastknot_virtual/src/system/virtual_system.rs
+++ b/crates/mastknot_virtual/src/system/virtual_system.rs
@@ -133,6 +133,16 @@
         self.requests.values()
     }
 
+    /// A request with its reply.
+    pub fn request(&self, request: RequestId) -> &Submitted {
+        &self.requests[&request]
+    }
+
+    /// The wall clock at a later time.
+    pub fn wall_at(&self, at: u64) -> WallTime {
+        WallTime::from_millis(WALL_START + at / 1_000)
+    }
+
     /// The reply to a request, if there is one yet.
     pub fn reply(&self, request: RequestId) -> Option<&Reply> {
         let submitted = self.requests.get(&request)?;
