feat(dispatch): shortest job first within a bounded fairness slack; credits live on by what is heard

Cause: fair sharing alone made small jobs of one team wait behind its large ones; idle credits were exchanged each second although the side hears from the entry all the time. Change: FairQueue orders by job within a slack (60 s of one slot's work); a credit's life counts from the last message that its side got from its entry, so a working pair renews nothing and a paused entry still loses its credits. Conclusion: what is left is the split between two entries: one's short job waits behind the other's long one.

--- a/crates/mastknot_core/src/config/profile.rs
+++ b/crates/mastknot_core/src/config/profile.rs
@@ -10,6 +10,9 @@
     pub keep_credits_percent: u32,
     /// How long an entry without credits waits before it asks again, in milliseconds.
     pub ask_interval_ms: u32,
+    /// By how much work, in seconds of one slot, a team or customer may run ahead of another that
+    /// waits, for the sake of short jobs.
+    pub fairness_slack_s: u32,
     /// Idle credits that an entry keeps alive beyond its recent use.
     pub idle_reserve: u32,
     /// Retries and hedges allowed, as a share of recent requests, in percent.
@@ -25,6 +28,7 @@
         Self {
             keep_credits_percent: 25,
             ask_interval_ms: 5,
+            fairness_slack_s: 60,
             idle_reserve: 64,
             retry_budget_percent: 10,
             hedge_after_percent: 300,
@@ -36,6 +40,7 @@
         Self {
             keep_credits_percent: 25,
             ask_interval_ms: 40,
+            fairness_slack_s: 60,
             idle_reserve: 32,
             retry_budget_percent: 10,
             hedge_after_percent: 0,
--- a/crates/mastknot_core/src/dispatch/credit_pool.rs
+++ b/crates/mastknot_core/src/dispatch/credit_pool.rs
@@ -179,7 +179,7 @@
             let credit = Credit {
                 incarnation: side.incarnation(),
                 seq: held.seq,
-                lifetime_ms: held.expires.since(now).as_millis() as u32,
+                lifetime_ms: side.expires(&held).since(now).as_millis() as u32,
             };
             let side = name.clone();
             lent.push(SideCredit { side, credit });
--- a/crates/mastknot_core/src/dispatch/dispatcher.rs
+++ b/crates/mastknot_core/src/dispatch/dispatcher.rs
@@ -86,11 +86,13 @@
 impl Dispatcher {
     /// An empty dispatcher of an entry in `hall` that queues at most `max_waiting` tasks.
     pub fn new(hall: impl Into<Hall>, profile: Profile, max_waiting: u32) -> Self {
+        let mut queue = FairQueue::new(JobOrder::default());
+        queue.set_slack(slack_micros(&profile));
         Self {
             retry_budget: RetryBudget::new(profile.retry_budget_percent),
             profile,
             pool: CreditPool::new(hall.into()),
-            queue: FairQueue::new(JobOrder::default()),
+            queue,
             active: HashMap::new(),
             deadlines: BTreeSet::new(),
             hedges: BTreeSet::new(),
@@ -111,12 +113,14 @@
     pub fn job_order(mut self, order: JobOrder) -> Self {
         debug_assert!(self.active.is_empty(), "submissions are queued already");
         self.queue = FairQueue::new(order);
+        self.queue.set_slack(slack_micros(&self.profile));
         self
     }
 
     /// Puts a changed profile in force.
     pub fn set_profile(&mut self, profile: Profile) {
         self.retry_budget.set_percent(profile.retry_budget_percent);
+        self.queue.set_slack(slack_micros(&profile));
         self.profile = profile;
     }
 
@@ -256,15 +260,15 @@
         credits: &[Credit],
         out: &mut Vec<DispatchEffect>,
     ) {
-        self.keep(now, side, credits);
+        self.keep(now, side, credits, false);
         self.pump(now, out);
     }
 
-    fn keep(&mut self, now: Moment, side: &NodeName, credits: &[Credit]) {
+    fn keep(&mut self, now: Moment, side: &NodeName, credits: &[Credit], is_borrowed: bool) {
         let kept = self.pool.update(now, side, |side| {
             credits
                 .iter()
-                .filter(|credit| side.keep(now, **credit))
+                .filter(|credit| side.keep(now, **credit, is_borrowed))
                 .count()
         });
         self.counters.credits_received += kept.unwrap_or(0) as u64;
@@ -292,7 +296,7 @@
     ) {
         self.counters.credits_borrowed += credits.len() as u64;
         for lent in credits {
-            self.keep(now, &lent.side, &[lent.credit]);
+            self.keep(now, &lent.side, &[lent.credit], true);
         }
         self.pump(now, out);
     }
@@ -454,7 +458,7 @@
         out: &mut Vec<DispatchEffect>,
     ) {
         if let Some(credit) = next {
-            self.keep(now, side, &[credit]);
+            self.keep(now, side, &[credit], false);
         }
         let matches =
             |attempt: &Attempt| attempt.side == *side && attempt.incarnation == incarnation;
@@ -497,7 +501,7 @@
         out: &mut Vec<DispatchEffect>,
     ) {
         if let Some(credit) = next {
-            self.keep(now, side, &[credit]);
+            self.keep(now, side, &[credit], false);
         }
         let matches = |attempt: &Attempt| {
             attempt.side == *side && attempt.incarnation == incarnation && attempt.credit == credit
@@ -518,6 +522,9 @@
         let submission = self.active.get_mut(&task.key)?;
         let attempt = submission.take_attempt(task.index, matches)?;
         let team = submission.team.clone();
+        self.pool.update(now, &attempt.side, |side| {
+            side.note_received(attempt.at);
+        });
         self.note_attempt_over(now, &team, &attempt);
         Some(attempt)
     }
@@ -919,7 +926,7 @@
             .pool
             .sides()
             .map(|(name, side)| {
-                let ending = side.credits.iter().filter(|c| c.renew_at <= now).count();
+                let ending = side.ending(now).count();
                 (name.clone(), ending, side.credits.len() - ending)
             })
             .collect();
@@ -937,8 +944,7 @@
 
     fn take_ending(&mut self, now: Moment, side: &NodeName, most: usize) -> Vec<CreditSeq> {
         let taken = self.pool.update(now, side, |side| {
-            let ending = side.credits.iter().filter(|c| c.renew_at <= now);
-            let seqs: Vec<CreditSeq> = ending.map(|c| c.seq).take(most).collect();
+            let seqs: Vec<CreditSeq> = side.ending(now).take(most).collect();
             side.credits.retain(|credit| !seqs.contains(&credit.seq));
             seqs
         });
@@ -1008,3 +1014,7 @@
         self.send_start(now, task, side, credit, queued_at, out);
     }
 }
+
+fn slack_micros(profile: &Profile) -> u64 {
+    u64::from(profile.fairness_slack_s) * 1_000_000
+}
--- a/crates/mastknot_core/src/dispatch/fair_queue.rs
+++ b/crates/mastknot_core/src/dispatch/fair_queue.rs
@@ -1,6 +1,7 @@
 use std::collections::{BTreeSet, HashMap, VecDeque};
 
 use super::JobOrder;
+use super::fair_level::{FairLevel, Standing};
 use crate::types::{Moment, NodeName, SubmissionKey, TaskId};
 
 /// A task that was taken from the queue.
@@ -31,6 +32,51 @@
     waiting: u32,
 }
 
+impl CustomerQueue {
+    /// Takes the next task of a submission; says whether it was the submission's last.
+    fn take(&mut self, key: SubmissionKey, by_remaining: bool) -> (QueuedTask, bool) {
+        self.waiting -= 1;
+        let submission = self.submissions.get_mut(&key).expect("submission waits");
+        let index = submission.indexes.pop_front().expect("task waits");
+        self.order.remove(&(submission.order, key));
+        let task = QueuedTask {
+            task: TaskId { key, index },
+            service: submission.service.clone(),
+            since: submission.since,
+        };
+        let is_empty = submission.indexes.is_empty();
+        if is_empty {
+            self.submissions.remove(&key);
+            return (task, true);
+        }
+        if by_remaining {
+            submission.order = submission.indexes.len() as u64;
+        }
+        self.order.insert((submission.order, key));
+        (task, false)
+    }
+
+    /// Removes what waits of a submission; returns how many tasks that were.
+    fn remove(&mut self, key: SubmissionKey) -> u32 {
+        let Some(submission) = self.submissions.remove(&key) else {
+            return 0;
+        };
+        self.order.remove(&(submission.order, key));
+        let count = submission.indexes.len() as u32;
+        self.waiting -= count;
+        count
+    }
+
+    fn standing(&self) -> Option<Standing> {
+        let (head, _) = self.order.first()?;
+        Some(Standing {
+            is_over: false,
+            head: *head,
+            taken: self.taken,
+        })
+    }
+}
+
 #[derive(Clone, Debug)]
 struct TeamQueue {
     weight: u64,
@@ -38,7 +84,7 @@
     running: u32,
     /// Work taken so far, in microseconds, divided by the weight.
     taken: u64,
-    order: BTreeSet<(u64, NodeName)>,
+    level: FairLevel,
     customers: HashMap<NodeName, CustomerQueue>,
     waiting: u32,
 }
@@ -47,15 +93,31 @@
     fn is_over(&self) -> bool {
         self.running >= self.limit
     }
-}
 
-type TeamKey = (bool, u64, NodeName);
+    fn standing(&self) -> Option<Standing> {
+        let head = self.level.first_head()?;
+        Some(Standing {
+            is_over: self.is_over(),
+            head,
+            taken: self.taken,
+        })
+    }
+
+    /// Changes a customer's queue and puts the customer back in order.
+    fn touch<R>(&mut self, customer: &NodeName, change: impl FnOnce(&mut CustomerQueue) -> R) -> R {
+        let queue = self.customers.entry(customer.clone()).or_default();
+        let result = change(queue);
+        let standing = queue.standing();
+        self.level.set(customer, standing);
+        result
+    }
+}
 
 /// Waiting tasks, shared fairly between teams and between the customers of a team.
 ///
-/// Teams share by weight, and the customers within a team share evenly: whoever has taken the
-/// least work so far goes next. A team at its limit goes only when no team below its own waits.
-/// Within a customer a [`JobOrder`] decides.
+/// A [`JobOrder`] decides which submission goes next, within bounds: no team may run ahead of
+/// another that waits by more work than the slack (by weight), and no customer ahead of another
+/// of its team. A team at its limit goes only when no team below its own waits.
 ///
 /// # Examples
 ///
@@ -76,29 +138,36 @@
 #[derive(Clone, Debug)]
 pub struct FairQueue {
     job_order: JobOrder,
+    slack: u64,
     teams: HashMap<NodeName, TeamQueue>,
-    order: BTreeSet<TeamKey>,
+    level: FairLevel,
     place: HashMap<SubmissionKey, (NodeName, NodeName)>,
     arrivals: u64,
     waiting: u32,
-    /// The work taken by the team that went last: newcomers start from there.
-    level: u64,
+    /// The work taken by those that went last: newcomers start from there.
+    base: u64,
 }
 
 impl FairQueue {
-    /// An empty queue.
+    /// An empty queue without slack: plain fair sharing between teams and customers.
     pub fn new(job_order: JobOrder) -> Self {
         Self {
             job_order,
+            slack: 0,
             teams: HashMap::new(),
-            order: BTreeSet::new(),
+            level: FairLevel::default(),
             place: HashMap::new(),
             arrivals: 0,
             waiting: 0,
-            level: 0,
+            base: 0,
         }
     }
 
+    /// Sets by how much work, in microseconds, one may run ahead of another.
+    pub fn set_slack(&mut self, micros: u64) {
+        self.slack = micros;
+    }
+
     /// Tasks that wait.
     pub fn waiting(&self) -> u32 {
         self.waiting
@@ -132,7 +201,7 @@
         let rivals = self.teams.values().filter(|other| other.waiting > 0);
         let weights: u64 = rivals.map(|other| other.weight).sum();
         let team_share = weights.max(queue.weight) / queue.weight.max(1);
-        let customers = queue.customers.values().filter(|c| c.waiting > 0).count();
+        let customers = queue.level.len();
         let own = queue.customers.get(customer).map_or(0, |c| c.waiting);
         let by_customer = u64::from(own) * customers.max(1) as u64;
         let by_team = by_customer.min(u64::from(queue.waiting)) * team_share;
@@ -173,21 +242,21 @@
         };
         self.place.insert(key, (team.clone(), customer.clone()));
         self.waiting += u32::from(count);
-        let level = self.level;
+        let base = self.base;
         self.touch_team(&team, |queue| {
             if queue.waiting == 0 {
-                queue.taken = queue.taken.max(level);
+                queue.taken = queue.taken.max(base);
             }
             queue.waiting += u32::from(count);
-            let lowest = queue.order.first().map_or(0, |(taken, _)| *taken);
-            let owner = queue.customers.entry(customer.clone()).or_default();
-            if owner.waiting == 0 {
-                owner.taken = owner.taken.max(lowest);
-                queue.order.insert((owner.taken, customer));
-            }
-            owner.waiting += u32::from(count);
-            owner.order.insert((order, key));
-            owner.submissions.insert(key, submission);
+            let least = queue.level.least_taken().unwrap_or(0);
+            queue.touch(&customer, |owner| {
+                if owner.waiting == 0 {
+                    owner.taken = owner.taken.max(least);
+                }
+                owner.waiting += u32::from(count);
+                owner.order.insert((order, key));
+                owner.submissions.insert(key, submission);
+            });
         });
     }
 
@@ -198,19 +267,17 @@
         self.place.insert(key, (team.clone(), customer.clone()));
         self.touch_team(team, |queue| {
             queue.waiting += 1;
-            let owner = queue.customers.entry(customer.clone()).or_default();
-            if owner.waiting == 0 {
-                queue.order.insert((owner.taken, customer.clone()));
-            }
-            owner.waiting += 1;
-            let submission = owner.submissions.entry(key).or_insert(QueuedSubmission {
-                service: queued.service,
-                order: 0,
-                since: queued.since,
-                indexes: VecDeque::new(),
+            queue.touch(customer, |owner| {
+                owner.waiting += 1;
+                let submission = owner.submissions.entry(key).or_insert(QueuedSubmission {
+                    service: queued.service,
+                    order: 0,
+                    since: queued.since,
+                    indexes: VecDeque::new(),
+                });
+                submission.indexes.push_front(queued.task.index);
+                owner.order.insert((submission.order, key));
             });
-            submission.indexes.push_front(queued.task.index);
-            owner.order.insert((submission.order, key));
         });
     }
 
@@ -227,33 +294,13 @@
             queue.waiting -= 1;
             queue.running += 1;
             queue.taken += cost_micros / queue.weight;
-            let owner = queue.customers.get_mut(&customer).expect("customer waits");
-            queue.order.remove(&(owner.taken, customer.clone()));
-            owner.taken += cost_micros;
-            owner.waiting -= 1;
-            let submission = owner.submissions.get_mut(&key).expect("submission waits");
-            let index = submission.indexes.pop_front().expect("task waits");
-            owner.order.remove(&(submission.order, key));
-            let task = QueuedTask {
-                task: TaskId { key, index },
-                service: submission.service.clone(),
-                since: submission.since,
-            };
-            let is_empty = submission.indexes.is_empty();
-            if is_empty {
-                owner.submissions.remove(&key);
-            } else {
-                if by_remaining {
-                    submission.order = submission.indexes.len() as u64;
-                }
-                owner.order.insert((submission.order, key));
-            }
-            if owner.waiting > 0 {
-                queue.order.insert((owner.taken, customer.clone()));
-            }
+            let (task, is_empty) = queue.touch(&customer, |owner| {
+                owner.taken += cost_micros;
+                owner.take(key, by_remaining)
+            });
             (task, queue.taken, is_empty)
         });
-        self.level = self.level.max(taken.saturating_sub(cost_micros));
+        self.base = self.base.max(taken.saturating_sub(cost_micros + self.slack));
         if is_empty {
             self.place.remove(&key);
         }
@@ -264,9 +311,9 @@
         &self,
         can_start: &impl Fn(&NodeName) -> bool,
     ) -> Option<(NodeName, NodeName, SubmissionKey)> {
-        for (_, _, team) in &self.order {
+        for team in self.level.order(self.slack) {
             let queue = &self.teams[team];
-            for (_, customer) in &queue.order {
+            for customer in queue.level.order(self.slack) {
                 let owner = &queue.customers[customer];
                 let next = owner
                     .order
@@ -280,6 +327,11 @@
         None
     }
 
+    /// The order key of the submission that goes first; lower is more urgent.
+    pub fn first_order(&self) -> Option<u64> {
+        self.level.first_head()
+    }
+
     /// Whether a team runs as many tasks as it may while others wait.
     pub fn is_over_limit(&self, team: &NodeName) -> bool {
         self.teams.get(team).is_some_and(TeamQueue::is_over)
@@ -307,20 +359,9 @@
             return 0;
         };
         let removed = self.touch_team(&team, |queue| {
-            let Some(owner) = queue.customers.get_mut(&customer) else {
-                return 0;
-            };
-            let Some(submission) = owner.submissions.remove(&key) else {
-                return 0;
-            };
-            owner.order.remove(&(submission.order, key));
-            let count = submission.indexes.len() as u32;
-            owner.waiting -= count;
-            queue.waiting -= count;
-            if owner.waiting == 0 {
-                queue.order.remove(&(owner.taken, customer.clone()));
-            }
-            count
+            let removed = queue.touch(&customer, |owner| owner.remove(key));
+            queue.waiting -= removed;
+            removed
         });
         self.waiting -= removed;
         removed
@@ -333,17 +374,13 @@
             limit: u32::MAX,
             running: 0,
             taken: 0,
-            order: BTreeSet::new(),
+            level: FairLevel::default(),
             customers: HashMap::new(),
             waiting: 0,
         });
-        self.order
-            .remove(&(queue.is_over(), queue.taken, team.clone()));
         let result = change(queue);
-        if queue.waiting > 0 {
-            self.order
-                .insert((queue.is_over(), queue.taken, team.clone()));
-        }
+        let standing = queue.standing();
+        self.level.set(team, standing);
         result
     }
 }
--- a/crates/mastknot_core/src/dispatch/mod.rs
+++ b/crates/mastknot_core/src/dispatch/mod.rs
@@ -5,6 +5,7 @@
 mod dispatch_counters;
 mod dispatch_effect;
 mod dispatcher;
+mod fair_level;
 mod fair_queue;
 mod job_order;
 mod pooled_side;
--- a/crates/mastknot_core/src/dispatch/pooled_side.rs
+++ b/crates/mastknot_core/src/dispatch/pooled_side.rs
@@ -15,7 +15,7 @@
 /// The share of error answers from which a side is paused.
 const ERROR_SHARE: f64 = 0.5;
 /// The part of a credit's life that an entry leaves unused, for clock drift and the trip.
-const LIFE_MARGIN_PERCENT: u64 = 10;
+const LIFE_MARGIN_PERCENT: u32 = 10;
 /// What an away hall adds to the score: as much as being slow by one step.
 const AWAY_SCORE: u32 = 1;
 
@@ -24,7 +24,8 @@
 pub(crate) struct HeldCredit {
     pub(crate) seq: CreditSeq,
     pub(crate) expires: Moment,
-    pub(crate) renew_at: Moment,
+    /// Lent by a peer: the side counts its life by what it hears from that peer.
+    pub(crate) is_borrowed: bool,
 }
 
 /// What an entry knows of one side, with the credits it holds there.
@@ -36,6 +37,10 @@
     pub(crate) is_leaving: bool,
     pub(crate) is_away: bool,
     pub(crate) told_at: Option<Moment>,
+    /// How long credits of the side live, less the margin.
+    usable_life: Duration,
+    /// All credits granted here live at least until then: the side has heard from this entry.
+    extended_until: Moment,
     slowness: f64,
     errors: f64,
     refusals_in_row: u32,
@@ -51,6 +56,8 @@
             is_leaving: false,
             is_away,
             told_at: None,
+            usable_life: Duration::ZERO,
+            extended_until: Moment::default(),
             slowness: 1.0,
             errors: 0.0,
             refusals_in_row: 0,
@@ -63,27 +70,54 @@
     }
 
     /// Keeps a credit; returns whether it can be used.
-    pub(crate) fn keep(&mut self, now: Moment, credit: Credit) -> bool {
+    pub(crate) fn keep(&mut self, now: Moment, credit: Credit, is_borrowed: bool) -> bool {
         if credit.incarnation != self.incarnation() || self.is_leaving {
             return false;
         }
         let life = Duration::from_millis(u64::from(credit.lifetime_ms));
-        let usable = life * (100 - LIFE_MARGIN_PERCENT as u32) / 100;
+        let usable = life * (100 - LIFE_MARGIN_PERCENT) / 100;
+        if !is_borrowed {
+            self.usable_life = self.usable_life.max(usable);
+        }
         self.credits.push_back(HeldCredit {
             seq: credit.seq,
             expires: now + usable,
-            renew_at: now + life * 2 / 3,
+            is_borrowed,
         });
         true
     }
 
+    /// Notes that the side has received what was sent to it at `sent_at`: credits that it
+    /// granted to this entry live on from then.
+    pub(crate) fn note_received(&mut self, sent_at: Moment) {
+        let until = sent_at + self.usable_life;
+        self.extended_until = self.extended_until.max(until);
+    }
+
+    /// Until when a credit can be used.
+    pub(crate) fn expires(&self, credit: &HeldCredit) -> Moment {
+        if credit.is_borrowed {
+            return credit.expires;
+        }
+        credit.expires.max(self.extended_until)
+    }
+
     /// Drops expired credits; returns how many.
     pub(crate) fn drop_expired(&mut self, now: Moment) -> u64 {
         let before = self.credits.len();
-        self.credits.retain(|credit| credit.expires > now);
+        let mut kept = std::mem::take(&mut self.credits);
+        kept.retain(|credit| self.expires(credit) > now);
+        self.credits = kept;
         (before - self.credits.len()) as u64
     }
 
+    /// Credits that end soon unless they are exchanged.
+    pub(crate) fn ending(&self, now: Moment) -> impl Iterator<Item = CreditSeq> + '_ {
+        let soon = now + self.usable_life / 3;
+        let ending = move |credit: &&HeldCredit| self.expires(credit) <= soon;
+        self.credits.iter().filter(ending).map(|credit| credit.seq)
+    }
+
     pub(crate) fn runs_service(&self, service: &crate::types::NodeName) -> bool {
         self.hello.services.is_empty() || self.hello.services.contains(service)
     }
--- a/crates/mastknot_core/src/side/credit_issuer.rs
+++ b/crates/mastknot_core/src/side/credit_issuer.rs
@@ -8,19 +8,23 @@
 #[derive(Clone, Debug)]
 struct Outstanding {
     entry: NodeName,
-    expires: Moment,
+    issued_at: Moment,
 }
 
 /// Issues single-use credits and takes them back.
 ///
-/// Sequence numbers rise with time and every credit lives equally long, so the lowest number
-/// always expires first.
+/// A credit lives as long as its lifetime after it was issued or after its entry was last heard,
+/// whichever is later. An entry that works with the side thus keeps its idle credits without a
+/// message for it, and an entry that is paused or cut off loses them.
 #[derive(Clone, Debug)]
 pub(crate) struct CreditIssuer {
     incarnation: Incarnation,
     lifetime: Duration,
     next_seq: CreditSeq,
     outstanding: BTreeMap<CreditSeq, Outstanding>,
+    heard_at: BTreeMap<NodeName, Moment>,
+    /// Before this moment no credit can expire.
+    none_before: Moment,
 }
 
 impl CreditIssuer {
@@ -30,6 +34,8 @@
             lifetime,
             next_seq: 1,
             outstanding: BTreeMap::new(),
+            heard_at: BTreeMap::new(),
+            none_before: Moment::default(),
         }
     }
 
@@ -37,13 +43,35 @@
         self.outstanding.len()
     }
 
+    /// Notes that something came from an entry. Only credits that are still alive gain by it, so
+    /// the expired ones must have been removed before.
+    pub(crate) fn note_heard(&mut self, now: Moment, entry: &NodeName) {
+        match self.heard_at.get_mut(entry) {
+            Some(heard_at) => *heard_at = now,
+            None => {
+                self.heard_at.insert(entry.clone(), now);
+            }
+        }
+    }
+
+    /// Forgets when an entry was heard: its link is gone.
+    pub(crate) fn forget_heard(&mut self, entry: &NodeName) {
+        self.heard_at.remove(entry);
+        self.none_before = Moment::default();
+    }
+
+    fn expires_at(&self, held: &Outstanding) -> Moment {
+        let heard_at = self.heard_at.get(&held.entry).copied().unwrap_or_default();
+        held.issued_at.max(heard_at) + self.lifetime
+    }
+
     /// Issues one credit to `entry`.
     pub(crate) fn issue(&mut self, now: Moment, entry: &NodeName) -> Credit {
         let seq = self.next_seq;
         self.next_seq += 1;
         let outstanding = Outstanding {
             entry: entry.clone(),
-            expires: now + self.lifetime,
+            issued_at: now,
         };
         self.outstanding.insert(seq, outstanding);
         Credit {
@@ -55,8 +83,8 @@
 
     /// Takes a credit out of circulation, if it is live; returns who it was granted to.
     pub(crate) fn take(&mut self, now: Moment, seq: CreditSeq) -> Option<NodeName> {
-        let live = self.outstanding.get(&seq)?.expires > now;
-        if !live {
+        let held = self.outstanding.get(&seq)?;
+        if self.expires_at(held) <= now {
             return None;
         }
         self.outstanding.remove(&seq).map(|held| held.entry)
@@ -64,18 +92,28 @@
 
     /// Removes the credits that have expired; returns who each was granted to.
     pub(crate) fn expire(&mut self, now: Moment) -> Vec<NodeName> {
-        let mut expired = Vec::new();
-        while let Some(first) = self.outstanding.first_entry() {
-            if first.get().expires > now {
-                break;
-            }
-            expired.push(first.remove().entry);
+        if now < self.none_before {
+            return Vec::new();
         }
-        expired
+        let is_over = |(_, held): &(&CreditSeq, &Outstanding)| self.expires_at(held) <= now;
+        let expired: Vec<CreditSeq> = self
+            .outstanding
+            .iter()
+            .filter(is_over)
+            .map(|(seq, _)| *seq)
+            .collect();
+        let removed = expired
+            .iter()
+            .filter_map(|seq| self.outstanding.remove(seq))
+            .map(|held| held.entry)
+            .collect();
+        self.none_before = self.next_expiry().unwrap_or(now + self.lifetime);
+        removed
     }
 
-    /// When the next credit expires.
+    /// When the next credit expires, if nothing more is heard.
     pub(crate) fn next_expiry(&self) -> Option<Moment> {
-        self.outstanding.values().next().map(|held| held.expires)
+        let expiries = self.outstanding.values().map(|held| self.expires_at(held));
+        expiries.min()
     }
 }
--- a/crates/mastknot_core/src/side/side_core.rs
+++ b/crates/mastknot_core/src/side/side_core.rs
@@ -127,8 +127,10 @@
             SideEvent::EntryJoined { entry } => self.entry_joined(entry, &mut effects),
             SideEvent::EntryLeft { entry } => {
                 self.entries.swap_remove(&entry);
+                self.credits.forget_heard(&entry);
             }
             SideEvent::FromEntry { entry, message } => {
+                self.credits.note_heard(now, &entry);
                 self.entry_sent(now, entry, message, &mut effects);
             }
             SideEvent::TaskEnded { task, outcome } => {
