feat(dispatch): entries lend credits to the peer with the more urgent submission

Cause: with two entries a short job of one waits behind a long job of the other, since each orders only its own queue. Sides say how many slots rest, so that only those are asked.

--- a/crates/mastknot_core/src/dispatch/credit_pool.rs
+++ b/crates/mastknot_core/src/dispatch/credit_pool.rs
@@ -165,28 +165,20 @@
         }
     }
 
-    /// Gives up to `most` idle credits away, from the sides with the worst score first.
-    pub(crate) fn lend(&mut self, now: Moment, most: usize) -> Vec<SideCredit> {
-        let mut lent = Vec::new();
-        while lent.len() < most {
-            let Some(&(_, _, index)) = self.ready.last() else {
-                break;
-            };
-            let (name, side) = self.sides.get_index_mut(index).expect("index is in order");
-            let Some(held) = side.credits.pop_back() else {
-                break;
-            };
-            let credit = Credit {
-                incarnation: side.incarnation(),
-                seq: held.seq,
-                lifetime_ms: side.expires(&held).since(now).as_millis() as u32,
-            };
-            let side = name.clone();
-            lent.push(SideCredit { side, credit });
-            self.idle -= 1;
-            self.reorder(now, index);
-        }
-        lent
+    /// Gives one idle credit away, from the side with the worst score.
+    pub(crate) fn lend_one(&mut self, now: Moment) -> Option<SideCredit> {
+        let &(_, _, index) = self.ready.last()?;
+        let (name, side) = self.sides.get_index_mut(index)?;
+        let held = side.credits.pop_back()?;
+        let credit = Credit {
+            incarnation: side.incarnation(),
+            seq: held.seq,
+            lifetime_ms: side.expires(&held).since(now).as_millis() as u32,
+        };
+        let side = name.clone();
+        self.idle -= 1;
+        self.reorder(now, index);
+        Some(SideCredit { side, credit })
     }
 
     /// Drops expired credits everywhere; returns how many.
--- a/crates/mastknot_core/src/dispatch/dispatch_effect.rs
+++ b/crates/mastknot_core/src/dispatch/dispatch_effect.rs
@@ -1,5 +1,5 @@
 use crate::decision::Decision;
-use crate::message::{EntryMessage, Refusal, SubmissionAnswer};
+use crate::message::{Demand, EntryMessage, Refusal, SideCredit, SubmissionAnswer};
 use crate::types::{NodeName, SubmissionKey};
 
 /// How the dispatcher is done with a submission.
@@ -21,10 +21,19 @@
         /// The message.
         message: EntryMessage,
     },
-    /// Ask every peer for idle credits.
+    /// Ask every peer for credits.
     AskPeers {
-        /// How many can be used at once.
-        wanted: u32,
+        /// How many can be used at once, and for what.
+        demand: Demand,
+        /// The tasks that run here.
+        running: u32,
+    },
+    /// Give credits up to a peer that has something more urgent.
+    Lend {
+        /// The peer.
+        peer: NodeName,
+        /// The credits.
+        credits: Vec<SideCredit>,
     },
     /// A submission has ended.
     Ended {
--- a/crates/mastknot_core/src/dispatch/dispatcher.rs
+++ b/crates/mastknot_core/src/dispatch/dispatcher.rs
@@ -1,10 +1,12 @@
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
 
 use serde::Serialize;
 
 use super::active_submission::{ActiveSubmission, Attempt};
 use super::credit_pool::CreditPool;
+use super::peer_want::PeerWant;
+use super::pooled_side::PooledSide;
 use super::{
     DispatchCounters, DispatchEffect, FairQueue, JobOrder, QueuedTask, RetryBudget,
     ServiceEstimate, Verdict,
@@ -13,7 +15,7 @@
 use crate::config::{Profile, Service};
 use crate::decision::{Decision, Rule};
 use crate::message::{
-    Credit, CreditSeq, EntryMessage, FailReason, NotRunReason, Ran, Refusal, RefusalReason,
+    Credit, CreditSeq, Demand, EntryMessage, FailReason, NotRunReason, Ran, Refusal, RefusalReason,
     SideCredit, SideHello, Submission, SubmissionAnswer, SubmissionKind, TaskOrder, TaskOutcome,
 };
 use crate::types::{Hall, Incarnation, Moment, NodeName, SubmissionKey, TaskId};
@@ -21,7 +23,9 @@
 /// Starts of one submission that sides may call "not run" before it is given up.
 const MAX_NOT_RUN: u32 = 16;
 /// How often demand is stated again to a side while tasks wait.
-const DEMAND_INTERVAL: Duration = Duration::from_millis(250);
+const DEMAND_INTERVAL: Duration = Duration::from_millis(300);
+/// How often demand is stated to a side that is not known to have resting slots.
+const BLIND_DEMAND_INTERVAL: Duration = Duration::from_secs(1);
 /// How often idle credits are checked for renewal.
 const RENEW_INTERVAL: Duration = Duration::from_millis(100);
 /// The longest time over which the peak of running tasks is remembered.
@@ -80,7 +84,9 @@
     peak_running: u32,
     peak_at: Moment,
     renewed_at: Moment,
-    asked_peers_at: Option<Moment>,
+    /// What peers were last asked for, and when.
+    asked_peers: Option<(Moment, Demand)>,
+    peer_wants: BTreeMap<NodeName, PeerWant>,
 }
 
 impl Dispatcher {
@@ -105,7 +111,8 @@
             peak_running: 0,
             peak_at: Moment::default(),
             renewed_at: Moment::default(),
-            asked_peers_at: None,
+            asked_peers: None,
+            peer_wants: BTreeMap::new(),
         }
     }
 
@@ -166,7 +173,7 @@
 
     /// What an operator sees of each side.
     pub fn side_status(&self, now: Moment) -> Vec<SideStatus> {
-        let status = |(name, side): (&NodeName, &super::pooled_side::PooledSide)| SideStatus {
+        let status = |(name, side): (&NodeName, &PooledSide)| SideStatus {
             side: name.clone(),
             incarnation: side.incarnation(),
             hall: side.hello.hall.clone(),
@@ -258,8 +265,10 @@
         now: Moment,
         side: &NodeName,
         credits: &[Credit],
+        resting: u16,
         out: &mut Vec<DispatchEffect>,
     ) {
+        self.note_resting(now, side, resting);
         self.keep(now, side, credits, false);
         self.pump(now, out);
     }
@@ -274,17 +283,31 @@
         self.counters.credits_received += kept.unwrap_or(0) as u64;
     }
 
-    /// A peer has tasks waiting and asks for idle credits: gives those that it can spare.
-    pub fn lend(&mut self, now: Moment, wanted: u32) -> Vec<SideCredit> {
+    /// A peer has tasks waiting and too few credits.
+    pub fn peer_wants(
+        &mut self,
+        now: Moment,
+        peer: &NodeName,
+        demand: Demand,
+        running: u32,
+        out: &mut Vec<DispatchEffect>,
+    ) {
+        self.peer_wants
+            .entry(peer.clone())
+            .and_modify(|want| want.state_again(now, demand, running))
+            .or_insert_with(|| PeerWant::new(now, demand, running));
         self.counters.credits_lapsed += self.pool.drop_expired(now);
-        if self.queue.waiting() > 0 {
-            return Vec::new();
-        }
-        let idle = self.pool.idle();
-        let kept = idle * self.profile.keep_credits_percent as usize / 100;
-        let lent = self.pool.lend(now, (idle - kept).min(wanted as usize));
-        self.counters.credits_lent += lent.len() as u64;
-        lent
+        self.pump(now, out);
+    }
+
+    /// A peer is gone, and what it wanted with it.
+    pub fn forget_peer(&mut self, peer: &NodeName) {
+        self.peer_wants.remove(peer);
+    }
+
+    /// A side said how many of its slots are neither taken nor granted.
+    pub fn note_resting(&mut self, now: Moment, side: &NodeName, resting: u16) {
+        self.pool.update(now, side, |side| side.resting = resting);
     }
 
     /// A peer lent credits.
@@ -737,18 +760,66 @@
 
     // ---- starting ----
 
-    /// Spends credits on waiting tasks until one or the other runs out.
+    /// Spends credits on waiting tasks, here or at a peer that has something more urgent, until
+    /// the one or the other runs out.
     fn pump(&mut self, now: Moment, out: &mut Vec<DispatchEffect>) {
-        while self.queue.waiting() > 0 && self.pool.idle() > 0 {
-            if !self.start_next(now, out) {
+        let mut lent: BTreeMap<NodeName, Vec<SideCredit>> = BTreeMap::new();
+        while self.pool.idle() > 0 {
+            if let Some(peer) = self.peer_to_serve(now) {
+                if !self.lend_one(now, &peer, &mut lent) {
+                    break;
+                }
+            } else if self.queue.waiting() == 0 || !self.start_next(now, out) {
                 break;
             }
         }
+        for (peer, credits) in lent {
+            self.counters.credits_lent += credits.len() as u64;
+            out.push(DispatchEffect::Lend { peer, credits });
+        }
         if self.queue.waiting() > 0 {
             self.ask(now, out);
         }
     }
 
+    /// The peer that the next idle credit goes to, if it does not stay here.
+    fn peer_to_serve(&self, now: Moment) -> Option<NodeName> {
+        if self.peer_wants.is_empty() {
+            return None;
+        }
+        let own = self.queue.first_order();
+        if own.is_none() && self.pool.idle() <= self.kept_credits() {
+            return None;
+        }
+        self.peer_wants
+            .iter()
+            .filter(|(_, want)| want.counts(now) && want.goes_first(now, own, self.running))
+            .min_by_key(|(_, want)| want.demand.urgency)
+            .map(|(peer, _)| peer.clone())
+    }
+
+    /// Idle credits that are not lent while nothing waits here.
+    fn kept_credits(&self) -> usize {
+        let all = self.running as usize + self.pool.idle();
+        all * self.profile.keep_credits_percent as usize / 100
+    }
+
+    fn lend_one(
+        &mut self,
+        now: Moment,
+        peer: &NodeName,
+        lent: &mut BTreeMap<NodeName, Vec<SideCredit>>,
+    ) -> bool {
+        let Some(credit) = self.pool.lend_one(now) else {
+            return false;
+        };
+        if let Some(want) = self.peer_wants.get_mut(peer) {
+            want.note_lent();
+        }
+        lent.entry(peer.clone()).or_default().push(credit);
+        true
+    }
+
     fn start_next(&mut self, now: Moment, out: &mut Vec<DispatchEffect>) -> bool {
         let pool = &self.pool;
         let cost = self.mean_cost_micros();
@@ -790,7 +861,7 @@
         queued_at: Moment,
         out: &mut Vec<DispatchEffect>,
     ) {
-        let waiting = self.queue.waiting();
+        let demand = self.demand();
         let incarnation = self
             .pool
             .update(now, &side, |side| {
@@ -834,7 +905,7 @@
             incarnation,
             credit,
             order,
-            waiting,
+            demand,
         };
         out.push(DispatchEffect::ToSide { side, message });
     }
@@ -849,42 +920,81 @@
 
     // ---- asking for credits ----
 
-    /// Tasks wait and no credit is at hand: states the demand to sides and peers.
+    /// What waits here.
+    fn demand(&self) -> Demand {
+        Demand {
+            wanted: self.queue.waiting(),
+            urgency: self.queue.first_order().unwrap_or(u64::MAX),
+        }
+    }
+
+    /// Tasks wait and no credit is at hand: states the demand to sides with resting slots and to
+    /// peers.
     fn ask(&mut self, now: Moment, out: &mut Vec<DispatchEffect>) {
-        let wanted = self.queue.waiting();
-        let due = |told: Option<Moment>| told.is_none_or(|at| now.since(at) >= DEMAND_INTERVAL);
+        let demand = self.demand();
+        let is_due = |side: &PooledSide| {
+            let silent = side.told_at.map_or(Duration::MAX, |at| now.since(at));
+            let is_worth_it = side.resting > 0 && silent >= DEMAND_INTERVAL;
+            is_worth_it || silent >= BLIND_DEMAND_INTERVAL
+        };
         let untold: Vec<NodeName> = self
             .pool
             .sides()
-            .filter(|(_, side)| !side.is_leaving && !side.is_paused(now) && due(side.told_at))
-            .filter(|(_, side)| side.room() > 0)
+            .filter(|(_, side)| !side.is_leaving && !side.is_paused(now) && is_due(side))
             .map(|(name, _)| name.clone())
-            .take(wanted as usize)
+            .take(demand.wanted as usize)
             .collect();
         for side in untold {
-            self.exchange(now, &side, Vec::new(), wanted, out);
+            self.exchange(now, &side, Vec::new(), demand, out);
         }
-        let interval = self.ask_interval();
-        let peers_due = self
-            .asked_peers_at
-            .is_none_or(|at| now.since(at) >= interval);
-        if self.entries > 1 && peers_due {
-            self.asked_peers_at = Some(now);
-            self.counters.peer_asks += 1;
-            out.push(DispatchEffect::AskPeers { wanted });
+        if self.entries > 1 {
+            self.ask_peers(now, demand, out);
         }
     }
 
+    /// Asks peers for credits for the first submission, if its own would take long.
+    fn ask_peers(&mut self, now: Moment, demand: Demand, out: &mut Vec<DispatchEffect>) {
+        let first = demand.urgency.min(u64::from(demand.wanted)) as u32;
+        let wanted = Demand {
+            wanted: first.max(1),
+            urgency: demand.urgency,
+        };
+        let is_due = self.asked_peers.is_none_or(|(at, asked)| {
+            let since = now.since(at);
+            let is_more_urgent = wanted.urgency < asked.urgency;
+            since >= DEMAND_INTERVAL || (is_more_urgent && since >= self.ask_interval())
+        });
+        if !is_due || self.own_wait(wanted.wanted) < self.ask_interval() {
+            return;
+        }
+        self.asked_peers = Some((now, wanted));
+        self.counters.peer_asks += 1;
+        let running = self.running;
+        let demand = wanted;
+        out.push(DispatchEffect::AskPeers { demand, running });
+    }
+
+    /// How long this entry's own credits would take to start this many tasks.
+    fn own_wait(&self, tasks: u32) -> Duration {
+        let mean = Duration::from_micros(self.mean_cost_micros());
+        if self.running == 0 {
+            return mean;
+        }
+        mean * tasks / self.running
+    }
+
     fn exchange(
         &mut self,
         now: Moment,
         side: &NodeName,
         returned: Vec<CreditSeq>,
-        wanted: u32,
+        demand: Demand,
         out: &mut Vec<DispatchEffect>,
     ) {
         let Some(incarnation) = self.pool.update(now, side, |side| {
             side.told_at = Some(now);
+            // If some are left, the side's answer says so.
+            side.resting = 0;
             side.incarnation()
         }) else {
             return;
@@ -893,7 +1003,7 @@
         let message = EntryMessage::Exchange {
             incarnation,
             returned,
-            wanted,
+            demand,
         };
         let side = side.clone();
         out.push(DispatchEffect::ToSide { side, message });
@@ -913,7 +1023,9 @@
         let share = slots.div_ceil(self.entries);
         let wanted = share.min(lacking).max(self.queue.waiting().min(slots));
         if wanted > 0 {
-            self.exchange(now, side, Vec::new(), wanted, out);
+            let urgency = self.demand().urgency;
+            let demand = Demand { wanted, urgency };
+            self.exchange(now, side, Vec::new(), demand, out);
         }
     }
 
@@ -938,7 +1050,11 @@
                 continue;
             }
             let returned = self.take_ending(now, &side, renewed);
-            self.exchange(now, &side, returned, renewed as u32, out);
+            let demand = Demand {
+                wanted: renewed as u32,
+                urgency: self.demand().urgency,
+            };
+            self.exchange(now, &side, returned, demand, out);
         }
     }
 
--- a/crates/mastknot_core/src/dispatch/mod.rs
+++ b/crates/mastknot_core/src/dispatch/mod.rs
@@ -8,6 +8,7 @@
 mod fair_level;
 mod fair_queue;
 mod job_order;
+mod peer_want;
 mod pooled_side;
 mod retry_budget;
 mod service_estimate;
--- a/crates/mastknot_core/src/dispatch/pooled_side.rs
+++ b/crates/mastknot_core/src/dispatch/pooled_side.rs
@@ -37,6 +37,8 @@
     pub(crate) is_leaving: bool,
     pub(crate) is_away: bool,
     pub(crate) told_at: Option<Moment>,
+    /// Slots that are neither taken nor granted, as the side last said.
+    pub(crate) resting: u16,
     /// How long credits of the side live, less the margin.
     usable_life: Duration,
     /// All credits granted here live at least until then: the side has heard from this entry.
@@ -50,6 +52,7 @@
 impl PooledSide {
     pub(crate) fn new(hello: SideHello, is_away: bool) -> Self {
         Self {
+            resting: hello.slots,
             hello,
             credits: VecDeque::new(),
             running: 0,
@@ -108,7 +111,10 @@
         let mut kept = std::mem::take(&mut self.credits);
         kept.retain(|credit| self.expires(credit) > now);
         self.credits = kept;
-        (before - self.credits.len()) as u64
+        let dropped = before - self.credits.len();
+        // Their slots rest at the side until someone asks for them.
+        self.resting += dropped as u16;
+        dropped as u64
     }
 
     /// Credits that end soon unless they are exchanged.
@@ -163,10 +169,4 @@
         let away = if self.is_away { AWAY_SCORE } else { 0 };
         2 * slow + away
     }
-
-    /// Slots of the side that this entry neither runs on nor holds credits for.
-    pub(crate) fn room(&self) -> u32 {
-        let used = self.running + self.credits.len() as u32;
-        u32::from(self.hello.slots).saturating_sub(used)
-    }
 }
--- a/crates/mastknot_core/src/entry/entry_core.rs
+++ b/crates/mastknot_core/src/entry/entry_core.rs
@@ -7,7 +7,7 @@
 use crate::config::{ConfigReplica, Profile, Service, Team};
 use crate::decision::DecisionLog;
 use crate::dispatch::{DispatchCounters, DispatchEffect, Dispatcher, SideStatus, Verdict};
-use crate::message::{Reply, SubmissionAnswer};
+use crate::message::{PeerMessage, Reply, SubmissionAnswer};
 use crate::roster::{Membership, MembershipEffect, Roster};
 use crate::submission::Ledger;
 use crate::types::{Incarnation, Moment, NodeName, Now, SubmissionKey};
@@ -310,14 +310,13 @@
             DispatchEffect::ToSide { side, message } => {
                 out.push(EntryEffect::ToSide { side, message });
             }
-            DispatchEffect::AskPeers { wanted } => {
-                let message = crate::message::PeerMessage::WantCredits { wanted };
-                for peer in self.membership.connected() {
-                    out.push(EntryEffect::ToPeer {
-                        peer: peer.clone(),
-                        message: message.clone(),
-                    });
-                }
+            DispatchEffect::AskPeers { demand, running } => {
+                let message = PeerMessage::WantCredits { demand, running };
+                self.tell_peers(&message, out);
+            }
+            DispatchEffect::Lend { peer, credits } => {
+                let message = PeerMessage::Lend { credits };
+                out.push(EntryEffect::ToPeer { peer, message });
             }
             DispatchEffect::Ended { key, verdict } => self.ended(key, verdict, out),
             DispatchEffect::Decided(mut decision) => {
@@ -367,7 +366,7 @@
             }),
             Waiter::Peer { peer, request } => out.push(EntryEffect::ToPeer {
                 peer: peer.clone(),
-                message: crate::message::PeerMessage::Replied {
+                message: PeerMessage::Replied {
                     request: *request,
                     reply,
                 },
--- a/crates/mastknot_core/src/entry/peers.rs
+++ b/crates/mastknot_core/src/entry/peers.rs
@@ -82,7 +82,11 @@
                     self.membership.peer_handed_over(now, &peer.name);
                 }
             }
-            PeerMessage::WantCredits { wanted } => self.lend(now, &peer.name, wanted, out),
+            PeerMessage::WantCredits { demand, running } => {
+                self.with_dispatcher(now, out, |d, e| {
+                    d.peer_wants(now.monotonic, &peer.name, demand, running, e);
+                });
+            }
             PeerMessage::Lend { credits } => self.borrowed(now, credits, out),
             PeerMessage::Config(delta) => self.config_learned(now, &delta, out),
             PeerMessage::ConfigInForce { version, .. } => {
@@ -102,19 +106,11 @@
     pub(super) fn peer_lost(&mut self, now: Now, peer: &MemberId, out: &mut Vec<EntryEffect>) {
         self.membership.peer_left(&peer.name);
         self.team_use.remove(&peer.name);
+        self.dispatcher.forget_peer(&peer.name);
         self.fail_forwards(&peer.name, out);
         self.fail_questions(now, peer, out);
     }
 
-    fn lend(&mut self, now: Now, peer: &NodeName, wanted: u32, out: &mut Vec<EntryEffect>) {
-        let credits = self.dispatcher.lend(now.monotonic, wanted);
-        if !credits.is_empty() {
-            let message = PeerMessage::Lend { credits };
-            let peer = peer.clone();
-            out.push(EntryEffect::ToPeer { peer, message });
-        }
-    }
-
     fn borrowed(&mut self, now: Now, credits: Vec<SideCredit>, out: &mut Vec<EntryEffect>) {
         self.with_dispatcher(now, out, |d, e| d.borrowed(now.monotonic, credits, e));
     }
@@ -177,7 +173,7 @@
         }
     }
 
-    fn tell_peers(&self, message: &PeerMessage, out: &mut Vec<EntryEffect>) {
+    pub(super) fn tell_peers(&self, message: &PeerMessage, out: &mut Vec<EntryEffect>) {
         for peer in self.membership.connected() {
             out.push(EntryEffect::ToPeer {
                 peer: peer.clone(),
--- a/crates/mastknot_core/src/entry/sides.rs
+++ b/crates/mastknot_core/src/entry/sides.rs
@@ -34,15 +34,17 @@
         }
         match message {
             SideMessage::Hello(_) | SideMessage::Heartbeat => {}
-            SideMessage::Grant { credits } => {
-                self.with_dispatcher(now, out, |d, e| d.granted(at, &side, &credits, e));
+            SideMessage::Grant { credits, resting } => {
+                self.with_dispatcher(now, out, |d, e| d.granted(at, &side, &credits, resting, e));
             }
             SideMessage::Answer {
                 task,
                 outcome,
                 run_micros,
                 next,
+                resting,
             } => {
+                self.dispatcher.note_resting(at, &side, resting);
                 let run = Duration::from_micros(u64::from(run_micros));
                 self.with_dispatcher(now, out, |d, e| {
                     d.answered(at, &side, incarnation, task, outcome, run, next, e);
--- a/crates/mastknot_core/src/message/entry_message.rs
+++ b/crates/mastknot_core/src/message/entry_message.rs
@@ -1,6 +1,6 @@
 use bincode::{Decode, Encode};
 
-use super::{ConfigDelta, CreditSeq, TaskOrder};
+use super::{ConfigDelta, CreditSeq, Demand, TaskOrder};
 use crate::types::{Incarnation, NodeName, SubmissionKey};
 
 /// What an entry sends to a side.
@@ -23,8 +23,8 @@
         credit: CreditSeq,
         /// The task.
         order: TaskOrder,
-        /// Tasks that still wait at the entry.
-        waiting: u32,
+        /// What still waits at the entry.
+        demand: Demand,
     },
     /// Give idle credits back and say how many new ones are wanted.
     Exchange {
@@ -32,8 +32,8 @@
         incarnation: Incarnation,
         /// The credits that the entry will not spend.
         returned: Vec<CreditSeq>,
-        /// How many new credits the entry would keep.
-        wanted: u32,
+        /// The new credits that the entry would keep.
+        demand: Demand,
     },
     /// Stop what runs of a submission; its answer is no longer wanted.
     Stop {
--- a/crates/mastknot_core/src/message/mod.rs
+++ b/crates/mastknot_core/src/message/mod.rs
@@ -3,6 +3,7 @@
 mod answer;
 mod config_delta;
 mod credit;
+mod demand;
 mod entry_message;
 mod peer_message;
 mod refusal;
@@ -13,6 +14,7 @@
 pub use answer::{FailReason, Ran, Reply, SubmissionAnswer, TaskOutcome, TaskResult};
 pub use config_delta::{ConfigDelta, ConfigItem, ResourceName};
 pub use credit::{Credit, CreditSeq, SideCredit};
+pub use demand::Demand;
 pub use entry_message::EntryMessage;
 pub use peer_message::{HandoverRecord, KeyStatus, PeerMessage};
 pub use refusal::{Refusal, RefusalReason};
--- a/crates/mastknot_core/src/message/peer_message.rs
+++ b/crates/mastknot_core/src/message/peer_message.rs
@@ -1,6 +1,6 @@
 use bincode::{Decode, Encode};
 
-use super::{ConfigDelta, Digest, Reply, SideCredit, Submission, SubmissionAnswer};
+use super::{ConfigDelta, Demand, Digest, Reply, SideCredit, Submission, SubmissionAnswer};
 use crate::roster::{Member, Roster};
 use crate::types::SubmissionKey;
 
@@ -113,10 +113,12 @@
         /// Whether these are the last ones.
         is_complete: bool,
     },
-    /// The sender has tasks waiting and no credits.
+    /// The sender has tasks waiting and too few credits.
     WantCredits {
-        /// How many it can use at once.
-        wanted: u32,
+        /// How many it can use at once, and for what.
+        demand: Demand,
+        /// The tasks that it runs.
+        running: u32,
     },
     /// Idle credits that the sender gives up to the receiver.
     Lend {
--- a/crates/mastknot_core/src/message/side_message.rs
+++ b/crates/mastknot_core/src/message/side_message.rs
@@ -70,6 +70,8 @@
     Grant {
         /// The credits.
         credits: Vec<Credit>,
+        /// Slots that are neither taken nor granted.
+        resting: u16,
     },
     /// A task has ended; the next credit rides along.
     Answer {
@@ -81,6 +83,8 @@
         run_micros: u32,
         /// The next credit for this entry, if the slot stays with it.
         next: Option<Credit>,
+        /// Slots that are neither taken nor granted.
+        resting: u16,
     },
     /// A task was not started.
     NotRun {
--- a/crates/mastknot_core/src/side/side_core.rs
+++ b/crates/mastknot_core/src/side/side_core.rs
@@ -8,11 +8,11 @@
 use super::{SideCounters, SideEffect, SideEvent, SideSettings};
 use crate::config::ConfigReplica;
 use crate::message::{
-    Credit, CreditSeq, EntryMessage, NotRunReason, SideHello, SideMessage, TaskOrder, TaskOutcome,
+    Credit, CreditSeq, Demand, EntryMessage, NotRunReason, SideHello, SideMessage, TaskOrder, TaskOutcome,
 };
 use crate::types::{Incarnation, Moment, NodeName, SubmissionKey, TaskId};
 
-/// A credit leaves the entry that it would ride to only for this many times its need.
+/// A credit leaves the entry that it would ride to only for something this much more urgent.
 const RIDING_FACTOR: u64 = 4;
 
 /// A task that holds a slot.
@@ -31,7 +31,7 @@
 /// # Examples
 ///
 /// ```
-/// use mastknot_core::message::{EntryMessage, SideMessage};
+/// use mastknot_core::message::{Demand, EntryMessage, SideMessage};
 /// use mastknot_core::side::{SideCore, SideEffect, SideEvent, SideSettings};
 /// use mastknot_core::types::{Incarnation, Moment};
 ///
@@ -41,10 +41,10 @@
 /// let message = EntryMessage::Exchange {
 ///     incarnation: Incarnation(1),
 ///     returned: vec![],
-///     wanted: 5,
+///     demand: Demand { wanted: 5, urgency: 1 },
 /// };
 /// let effects = side.step(Moment::default(), SideEvent::FromEntry { entry: "entry-1".into(), message });
-/// let SideEffect::Send { message: SideMessage::Grant { credits }, .. } = &effects[0] else { panic!() };
+/// let SideEffect::Send { message: SideMessage::Grant { credits, .. }, .. } = &effects[0] else { panic!() };
 /// assert_eq!(credits.len(), 2, "five were wanted, two slots are free");
 /// ```
 #[derive(Clone, Debug)]
@@ -188,18 +188,18 @@
                 incarnation,
                 credit,
                 order,
-                waiting,
+                demand,
             } => {
-                self.state_demand(now, &entry, waiting);
+                self.state_demand(now, &entry, demand);
                 self.start(now, entry, incarnation, credit, order, effects);
             }
             EntryMessage::Exchange {
                 incarnation,
                 returned,
-                wanted,
+                demand,
             } => {
                 self.take_back(now, incarnation, &returned);
-                self.state_demand(now, &entry, wanted);
+                self.state_demand(now, &entry, demand);
             }
             EntryMessage::Stop { key } => self.stop(key, effects),
             EntryMessage::Config(delta) => {
@@ -220,7 +220,7 @@
         }
     }
 
-    fn state_demand(&mut self, now: Moment, entry: &NodeName, demand: u32) {
+    fn state_demand(&mut self, now: Moment, entry: &NodeName, demand: Demand) {
         if let Some(view) = self.entries.get_mut(entry) {
             view.state_demand(now, demand);
         }
@@ -333,6 +333,7 @@
             outcome,
             run_micros: now.since(running.since).as_micros() as u32,
             next,
+            resting: self.free_slots() as u16,
         };
         effects.push(SideEffect::Send {
             entry: running.entry,
@@ -368,37 +369,34 @@
         usize::from(self.settings.slots).saturating_sub(taken)
     }
 
-    /// The credit that rides on an answer: it stays with `entry` unless another entry has
-    /// stated a much greater need. Riding along is free, and a grant of its own is a message.
+    /// The credit that rides on an answer: it stays with `entry` unless another entry that wants
+    /// credits has something much more urgent, or this one wants none. Riding along is free, and
+    /// a grant of its own is a message.
     fn next_credit(&mut self, now: Moment, entry: &NodeName) -> Option<Credit> {
-        if self.free_slots() == 0 || !self.entries.contains_key(entry) {
+        let view = self.entries.get(entry)?;
+        if self.free_slots() == 0 {
             return None;
         }
+        let own = if view.wanted(now) > 0 {
+            view.urgency()
+        } else {
+            u64::MAX
+        };
         let is_outdone = self
             .neediest_entry(now)
             .filter(|neediest| neediest != entry)
-            .is_some_and(|neediest| {
-                self.need(now, &neediest) >= RIDING_FACTOR * self.need(now, entry).max(1)
-            });
+            .and_then(|neediest| self.entries.get(&neediest))
+            .is_some_and(|other| other.urgency().saturating_mul(RIDING_FACTOR) <= own);
         (!is_outdone).then(|| self.issue(now, entry))
     }
 
-    /// The demand of an entry for each credit it holds or would hold.
-    fn need(&self, now: Moment, entry: &NodeName) -> u64 {
-        let view = self.entries.get(entry);
-        view.map_or(0, |view| u64::from(view.demand(now)) / u64::from(view.held + 1))
-    }
-
-    /// The connected entry with the most unmet demand for each credit it already holds.
+    /// The connected entry that wants credits for the most urgent submission; among equals, the
+    /// one that holds the fewest here.
     fn neediest_entry(&self, now: Moment) -> Option<NodeName> {
         self.entries
             .iter()
-            .filter(|(_, view)| view.demand(now) > 0)
-            .max_by(|(_, a), (_, b)| {
-                let left = u64::from(a.demand(now)) * u64::from(b.held + 1);
-                let right = u64::from(b.demand(now)) * u64::from(a.held + 1);
-                left.cmp(&right)
-            })
+            .filter(|(_, view)| view.wanted(now) > 0)
+            .min_by_key(|(_, view)| (view.urgency(), view.held))
             .map(|(entry, _)| entry.clone())
     }
 
@@ -421,7 +419,8 @@
             granted.entry(entry).or_default().push(credit);
         }
         for (entry, credits) in granted {
-            let message = SideMessage::Grant { credits };
+            let resting = self.free_slots() as u16;
+            let message = SideMessage::Grant { credits, resting };
             effects.push(SideEffect::Send { entry, message });
         }
     }
