perf(dispatch): credits always ride; peers are asked anew for each new first submission

Cause: an entry asked its peers at most every 300 ms unless its first submission became more urgent than the one it had asked for; the next short job after one that was served had to wait. Grants of a side to another entry cost a message for each credit.

--- a/crates/mastknot_core/src/dispatch/dispatcher.rs
+++ b/crates/mastknot_core/src/dispatch/dispatcher.rs
@@ -84,8 +84,8 @@
     peak_running: u32,
     peak_at: Moment,
     renewed_at: Moment,
-    /// What peers were last asked for, and when.
-    asked_peers: Option<(Moment, Demand)>,
+    /// When peers were last asked, and for which submission.
+    asked_peers: Option<(Moment, Option<SubmissionKey>)>,
     peer_wants: BTreeMap<NodeName, PeerWant>,
 }
 
@@ -959,15 +959,15 @@
             wanted: first.max(1),
             urgency: demand.urgency,
         };
+        let first = self.queue.first_key();
         let is_due = self.asked_peers.is_none_or(|(at, asked)| {
             let since = now.since(at);
-            let is_more_urgent = wanted.urgency < asked.urgency;
-            since >= DEMAND_INTERVAL || (is_more_urgent && since >= self.ask_interval())
+            since >= DEMAND_INTERVAL || (first != asked && since >= self.ask_interval())
         });
         if !is_due || self.own_wait(wanted.wanted) < self.ask_interval() {
             return;
         }
-        self.asked_peers = Some((now, wanted));
+        self.asked_peers = Some((now, first));
         self.counters.peer_asks += 1;
         let running = self.running;
         let demand = wanted;
--- a/crates/mastknot_core/src/dispatch/fair_level.rs
+++ b/crates/mastknot_core/src/dispatch/fair_level.rs
@@ -47,10 +47,12 @@
     /// The rivals in the order in which they may go.
     pub(crate) fn order(&self, slack: u64) -> impl Iterator<Item = &NodeName> {
         let least = self.least_taken().unwrap_or(0);
-        let is_near = move |name: &NodeName| {
-            self.standings[name].taken <= least.saturating_add(slack)
-        };
-        let near = self.by_head.iter().filter(move |(_, _, name)| is_near(name));
+        let is_near =
+            move |name: &NodeName| self.standings[name].taken <= least.saturating_add(slack);
+        let near = self
+            .by_head
+            .iter()
+            .filter(move |(_, _, name)| is_near(name));
         let far = self.by_taken.iter().filter(move |(_, name)| !is_near(name));
         let near = near.map(|(_, _, name)| name);
         near.chain(far.map(|(_, name)| name))
--- a/crates/mastknot_core/src/dispatch/fair_queue.rs
+++ b/crates/mastknot_core/src/dispatch/fair_queue.rs
@@ -300,7 +300,9 @@
             });
             (task, queue.taken, is_empty)
         });
-        self.base = self.base.max(taken.saturating_sub(cost_micros + self.slack));
+        self.base = self
+            .base
+            .max(taken.saturating_sub(cost_micros + self.slack));
         if is_empty {
             self.place.remove(&key);
         }
@@ -327,6 +329,11 @@
         None
     }
 
+    /// The submission that goes next.
+    pub fn first_key(&self) -> Option<SubmissionKey> {
+        self.find(&|_: &NodeName| true).map(|(_, _, key)| key)
+    }
+
     /// The order key of the submission that goes first; lower is more urgent.
     pub fn first_order(&self) -> Option<u64> {
         self.level.first_head()
--- a/crates/mastknot_core/src/side/side_core.rs
+++ b/crates/mastknot_core/src/side/side_core.rs
@@ -8,13 +8,11 @@
 use super::{SideCounters, SideEffect, SideEvent, SideSettings};
 use crate::config::ConfigReplica;
 use crate::message::{
-    Credit, CreditSeq, Demand, EntryMessage, NotRunReason, SideHello, SideMessage, TaskOrder, TaskOutcome,
+    Credit, CreditSeq, Demand, EntryMessage, NotRunReason, SideHello, SideMessage, TaskOrder,
+    TaskOutcome,
 };
 use crate::types::{Incarnation, Moment, NodeName, SubmissionKey, TaskId};
 
-/// A credit leaves the entry that it would ride to only for something this much more urgent.
-const RIDING_FACTOR: u64 = 4;
-
 /// A task that holds a slot.
 #[derive(Clone, Debug)]
 struct Running {
@@ -369,25 +367,11 @@
         usize::from(self.settings.slots).saturating_sub(taken)
     }
 
-    /// The credit that rides on an answer: it stays with `entry` unless another entry that wants
-    /// credits has something much more urgent, or this one wants none. Riding along is free, and
-    /// a grant of its own is a message.
+    /// The credit that rides on an answer. It stays with the entry: riding along is free, a grant
+    /// to another would be a message, and entries lend to each other in batches.
     fn next_credit(&mut self, now: Moment, entry: &NodeName) -> Option<Credit> {
-        let view = self.entries.get(entry)?;
-        if self.free_slots() == 0 {
-            return None;
-        }
-        let own = if view.wanted(now) > 0 {
-            view.urgency()
-        } else {
-            u64::MAX
-        };
-        let is_outdone = self
-            .neediest_entry(now)
-            .filter(|neediest| neediest != entry)
-            .and_then(|neediest| self.entries.get(&neediest))
-            .is_some_and(|other| other.urgency().saturating_mul(RIDING_FACTOR) <= own);
-        (!is_outdone).then(|| self.issue(now, entry))
+        let can_ride = self.free_slots() > 0 && self.entries.contains_key(entry);
+        can_ride.then(|| self.issue(now, entry))
     }
 
     /// The connected entry that wants credits for the most urgent submission; among equals, the
--- a/crates/mastknot_entry/src/operators/resource.rs
+++ b/crates/mastknot_entry/src/operators/resource.rs
@@ -153,7 +153,12 @@
     let reserve = profile.idle_reserve;
     check("idle_reserve", reserve, "0 to 100000", reserve <= 100_000)?;
     let budget = profile.retry_budget_percent;
-    check("fairness_slack_s", profile.fairness_slack_s, "0 to 100000", profile.fairness_slack_s <= 100_000)?;
+    check(
+        "fairness_slack_s",
+        profile.fairness_slack_s,
+        "0 to 100000",
+        profile.fairness_slack_s <= 100_000,
+    )?;
     check("retry_budget_percent", budget, "0 to 100", budget <= 100)?;
     let hedge = profile.hedge_after_percent;
     let is_good = hedge == 0 || (100..=10_000).contains(&hedge);
--- a/crates/mastknot_load/src/bench/arms/arm.rs
+++ b/crates/mastknot_load/src/bench/arms/arm.rs
@@ -46,7 +46,10 @@
         let found = ARMS.iter().find(|(name, _)| *name == text);
         found.map(|(_, arm)| *arm).ok_or_else(|| {
             let names: Vec<&str> = ARMS.iter().map(|(name, _)| *name).collect();
-            format!("{text:?} is no policy; the policies are {}", names.join(", "))
+            format!(
+                "{text:?} is no policy; the policies are {}",
+                names.join(", ")
+            )
         })
     }
 }
--- a/crates/mastknot_load/src/bench/arms/credits.rs
+++ b/crates/mastknot_load/src/bench/arms/credits.rs
@@ -40,11 +40,14 @@
     let mut system = VirtualSystem::new(profile.delays(), 1);
     for index in 0..entries {
         let policy = policy.clone();
-        system.add_entry(&format!("hall-{}", index % profile.halls() + 1), |settings| {
-            let mut settings = settings.profile(policy);
-            settings.job_order = order;
-            settings
-        });
+        system.add_entry(
+            &format!("hall-{}", index % profile.halls() + 1),
+            |settings| {
+                let mut settings = settings.profile(policy);
+                settings.job_order = order;
+                settings
+            },
+        );
     }
     for index in 0..sides {
         system.add_side(&format!("hall-{}", index % profile.halls() + 1), slots);
--- a/crates/mastknot_load/src/bench/compare.rs
+++ b/crates/mastknot_load/src/bench/compare.rs
@@ -196,7 +196,9 @@
     let ratio = |(arrival, outcome): (&super::Arrival, &Outcome)| {
         let longest = arrival.runs.iter().max().copied().unwrap_or(0);
         let ideal = longest + trips.as_micros() as u64;
-        outcome.response.map(|response| response as f64 / ideal as f64)
+        outcome
+            .response
+            .map(|response| response as f64 / ideal as f64)
     };
     pairs.filter_map(ratio).collect()
 }
--- a/crates/mastknot_load/src/bench/profile.rs
+++ b/crates/mastknot_load/src/bench/profile.rs
@@ -53,7 +53,9 @@
         match text {
             "kalahari" => Ok(Self::Kalahari),
             "co-op" => Ok(Self::CoOp),
-            _ => Err(format!("{text:?} is no profile; the profiles are kalahari, co-op")),
+            _ => Err(format!(
+                "{text:?} is no profile; the profiles are kalahari, co-op"
+            )),
         }
     }
 }
--- a/crates/mastknot_load/src/bench/workload/mod.rs
+++ b/crates/mastknot_load/src/bench/workload/mod.rs
@@ -119,7 +119,10 @@
 
     /// All tasks.
     pub fn tasks(&self) -> u64 {
-        self.arrivals.iter().map(|arrival| arrival.runs.len() as u64).sum()
+        self.arrivals
+            .iter()
+            .map(|arrival| arrival.runs.len() as u64)
+            .sum()
     }
 
     /// The work of all tasks, in microseconds.
--- a/crates/mastknot_load/src/main.rs
+++ b/crates/mastknot_load/src/main.rs
@@ -3,9 +3,10 @@
 use std::process::ExitCode;
 
 use bpaf::{OptionParser, Parser, construct, long};
+use mastknot_core::config::Profile;
 use mastknot_load::{
-    Arm, Baseline, BenchProfile, ComparePlan, LoadError, OverheadPlan, ThroughputPlan, compare, format_table,
-    measure_overhead, measure_throughput,
+    Arm, Baseline, BenchProfile, ComparePlan, LoadError, OverheadPlan, ThroughputPlan, compare,
+    format_table, measure_overhead, measure_throughput,
 };
 use serde::Serialize;
 
@@ -25,7 +26,11 @@
 }
 
 fn overhead() -> impl Parser<Command> {
-    let rate = number("rate", "Starts in a second, both arms together [1000]", 1_000);
+    let rate = number(
+        "rate",
+        "Starts in a second, both arms together [1000]",
+        1_000,
+    );
     let seconds = number("seconds", "How long [20]", 20);
     construct!(OverheadPlan { rate, seconds })
         .map(Command::Overhead)
@@ -72,7 +77,9 @@
     T::Err: std::fmt::Display,
 {
     let parts = text.split(',').map(|part| part.trim().parse::<T>());
-    parts.collect::<Result<Vec<T>, _>>().map_err(|e| e.to_string())
+    parts
+        .collect::<Result<Vec<T>, _>>()
+        .map_err(|e| e.to_string())
 }
 
 fn compare_options() -> impl Parser<Command> {
@@ -95,16 +102,41 @@
     let entries = number("entries", "Entries [2]", 2);
     let sides = number("sides", "Sides [12]", 12);
     let slots = number("slots", "Slots of each side [8]", 8);
-    let share = number("first-entry-share", "Share of arrivals at the first entry [0.5]", 0.5);
+    let share = number(
+        "first-entry-share",
+        "Share of arrivals at the first entry [0.5]",
+        0.5,
+    );
     let max_job = number("max-job", "Tasks of the largest job [1000]", 1_000);
     let deadline = number("deadline-ms", "Deadline of submissions [30000]", 0);
+    let weights = long("weights")
+        .help("Weights of the policy as JSON, in place of the profile's own")
+        .argument::<String>("JSON")
+        .parse(|text| serde_json::from_str::<Profile>(&text))
+        .optional();
     let json = long("json").help("Print one JSON object a run").switch();
     construct!(
-        profile, arms, seeds, load, seconds, entries, sides, slots, share, max_job, deadline, json
+        profile, weights, arms, seeds, load, seconds, entries, sides, slots, share, max_job,
+        deadline, json
     )
     .map(
-        |(profile, arms, seeds, load, seconds, entries, sides, slots, share, max_job, deadline, json)| {
+        |(
+            profile,
+            policy,
+            arms,
+            seeds,
+            load,
+            seconds,
+            entries,
+            sides,
+            slots,
+            share,
+            max_job,
+            deadline,
+            json,
+        )| {
             let plan = ComparePlan {
+                policy,
                 arms,
                 seeds,
                 load,
--- a/crates/mastknot_load/src/overhead/mod.rs
+++ b/crates/mastknot_load/src/overhead/mod.rs
@@ -64,7 +64,11 @@
 
 /// Calls the target directly and through mastknot in turns (A B A B), at a fixed rate.
 pub async fn measure_overhead(plan: OverheadPlan) -> Result<OverheadReport, LoadError> {
-    let system = Plan::new(["hall-1"]).entries(1).sides(1).slots(256).recording(false);
+    let system = Plan::new(["hall-1"])
+        .entries(1)
+        .sides(1)
+        .slots(256)
+        .recording(false);
     let harness = Harness::start(system).await?;
     let service = json!({ "path": "/run", "repeatable": true });
     harness.create("service", "run", service).await?;
@@ -125,7 +129,10 @@
         }
     };
     let micros = started.elapsed().as_micros() as u64;
-    answer.ok().filter(|a| a.status.is_success()).map(|_| micros)
+    answer
+        .ok()
+        .filter(|a| a.status.is_success())
+        .map(|_| micros)
 }
 
 fn report(
--- a/crates/mastknot_load/src/throughput/mod.rs
+++ b/crates/mastknot_load/src/throughput/mod.rs
@@ -129,7 +129,10 @@
         let Some(entry) = harness.entry(index) else {
             continue;
         };
-        let answer = harness.client.get(entry.metrics_address(), "/metrics").await?;
+        let answer = harness
+            .client
+            .get(entry.metrics_address(), "/metrics")
+            .await?;
         let links = &answer.body["links"];
         let read = |name: &str| links[name].as_u64().unwrap_or(0);
         work += read("work_messages_sent") + read("work_messages_received");
