fix(runtime): a caller whose body is too long can read why

Cause: the entry answered 413 while the body was still on its way and closed the connection; the caller saw it break (found by the new test of bad input over real sockets). Change: up to four times the limit is read and dropped before the answer. Before: Broken(connection was not ready); after: 413 body_too_long. Ruled out: the client's pool (each test has its own).

--- /dev/null
+++ b/crates/mastknot_harness/tests/common/mod.rs
@@ -0,0 +1,42 @@
+//! What the tests over real sockets share.
+#![allow(dead_code)]
+
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use mastknot_client::Answer;
+use mastknot_core::types::{SubmissionKey, WallTime};
+use mastknot_harness::{Harness, Plan};
+use serde_json::{Value, json};
+
+/// A new key whose time is moved by this many milliseconds.
+pub fn key(offset_ms: i64) -> String {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
+    let millis = (since_epoch.as_millis() as u64).saturating_add_signed(offset_ms);
+    SubmissionKey::new(WallTime::from_millis(millis), rand::random()).to_string()
+}
+
+/// A job of `count` tasks that end at once.
+pub fn job(key: &str, count: usize) -> Value {
+    json!({
+        "key": key,
+        "team": "team",
+        "customer": "customer",
+        "service": "pay",
+        "tasks": (0..count).map(|index| json!({ "ms": 0, "value": index })).collect::<Vec<_>>(),
+    })
+}
+
+/// Two entries, two sides, the service `pay`.
+pub async fn harness() -> Harness {
+    let plan = Plan::new(["hall-1", "hall-2"]).entries(2).sides(2).slots(4);
+    let harness = Harness::start(plan).await.unwrap();
+    let pay = json!({ "path": "/pay" });
+    harness.create("service", "pay", pay).await.unwrap();
+    harness
+}
+
+/// Posts a job to the first entry.
+pub async fn post(harness: &Harness, body: &Value) -> Answer {
+    let entry = harness.callers()[0];
+    harness.client.post(entry, "/v1/jobs", body).await.unwrap()
+}
--- a/crates/mastknot_load/src/lib.rs
+++ b/crates/mastknot_load/src/lib.rs
@@ -4,8 +4,11 @@
 
 mod bench;
 mod error;
+mod faults;
 mod keys;
 mod overhead;
+mod process;
+mod slopes;
 mod throughput;
 
 pub use bench::{
@@ -13,5 +16,7 @@
     compare, format_table,
 };
 pub use error::LoadError;
+pub use faults::{FaultAudit, FaultPhase, FaultsPlan, FaultsReport, run_faults};
 pub use overhead::{OverheadPlan, OverheadReport, measure_overhead};
+pub use slopes::{Line, Point, Slope, SlopesPlan, measure_slopes};
 pub use throughput::{ThroughputPlan, ThroughputReport, measure_throughput};
--- a/crates/mastknot_load/src/main.rs
+++ b/crates/mastknot_load/src/main.rs
@@ -5,8 +5,9 @@
 use bpaf::{OptionParser, Parser, construct, long};
 use mastknot_core::config::Profile;
 use mastknot_load::{
-    Arm, Baseline, BenchProfile, ComparePlan, LoadError, OverheadPlan, ThroughputPlan, compare,
-    format_table, measure_overhead, measure_throughput,
+    Arm, Baseline, BenchProfile, ComparePlan, FaultsPlan, LoadError, OverheadPlan, SlopesPlan,
+    ThroughputPlan, compare, format_table, measure_overhead, measure_slopes, measure_throughput,
+    run_faults,
 };
 use serde::Serialize;
 
@@ -15,6 +16,8 @@
     Overhead(OverheadPlan),
     Throughput(ThroughputPlan),
     Compare { plan: ComparePlan, json: bool },
+    Slopes(SlopesPlan),
+    Faults(FaultsPlan),
 }
 
 fn number<T>(name: &'static str, help: &'static str, fallback: T) -> impl Parser<T>
@@ -157,9 +160,32 @@
     .command("compare")
 }
 
+fn slopes() -> impl Parser<Command> {
+    let seconds = number("seconds", "How long each point is measured [10]", 10);
+    construct!(SlopesPlan { seconds })
+        .map(Command::Slopes)
+        .to_options()
+        .descr("How each role's cost grows; starts entries and sides as processes")
+        .command("slopes")
+}
+
+fn faults() -> impl Parser<Command> {
+    let rate = number("rate", "Submissions a second [60]", 60);
+    let pause_seconds = number("pause-seconds", "How long processes are paused [30]", 30);
+    construct!(FaultsPlan {
+        rate,
+        pause_seconds
+    })
+    .map(Command::Faults)
+    .to_options()
+    .descr("Entries and sides as processes under kills, pauses, outages and stops, audited")
+    .command("faults")
+}
+
 fn options() -> OptionParser<Command> {
     let (overhead, throughput, compare) = (overhead(), throughput(), compare_options());
-    construct!([overhead, throughput, compare])
+    let (slopes, faults) = (slopes(), faults());
+    construct!([overhead, throughput, compare, slopes, faults])
         .to_options()
         .version(env!("CARGO_PKG_VERSION"))
         .descr("Measure mastknot; every run is bounded in time and count and stays on loopback")
@@ -181,6 +207,8 @@
                 println!("{}", format_table(&reports));
             }
         }
+        Command::Faults(plan) => print(&run_faults(plan).await?),
+        Command::Slopes(plan) => print(&measure_slopes(plan).await?),
         Command::Throughput(plan) => print(&measure_throughput(plan).await?),
     }
     Ok(())
--- a/crates/mastknot_runtime/src/http/body.rs
+++ b/crates/mastknot_runtime/src/http/body.rs
@@ -1,11 +1,11 @@
 use std::convert::Infallible;
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use futures_util::Stream;
 use http::{Response, StatusCode, header};
 use http_body_util::combinators::UnsyncBoxBody;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited, StreamBody};
+use http_body_util::{BodyExt, Full, StreamBody};
 use hyper::body::{Body, Frame};
 use serde::Serialize;
 use snafu::Snafu;
@@ -30,22 +30,47 @@
     Broken,
 }
 
+/// Of a body that is too long, this many times the limit is read and dropped, so that its sender
+/// can read the answer instead of meeting a closed connection.
+const DROPPED_FACTOR: usize = 4;
+
 /// Reads a whole body within bounds of length and time.
 pub async fn read_body<B>(body: B, limit: usize, time: Duration) -> Result<Bytes, BodyError>
 where
-    B: Body<Data = Bytes>,
-    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+    B: Body<Data = Bytes> + Unpin,
 {
-    let limited = Limited::new(body, limit);
-    let collected = tokio::time::timeout(time, limited.collect()).await;
-    match collected {
+    match tokio::time::timeout(time, collect(body, limit)).await {
+        Ok(collected) => collected,
         Err(_) => Err(BodyError::TooSlow),
-        Ok(Ok(whole)) => Ok(whole.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(BodyError::TooLong { limit }),
-        Ok(Err(_)) => Err(BodyError::Broken),
     }
 }
 
+async fn collect<B>(mut body: B, limit: usize) -> Result<Bytes, BodyError>
+where
+    B: Body<Data = Bytes> + Unpin,
+{
+    let mut whole = BytesMut::new();
+    let mut length = 0;
+    while let Some(frame) = body.frame().await {
+        let Ok(frame) = frame else {
+            return Err(BodyError::Broken);
+        };
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        length += data.len();
+        if length <= limit {
+            whole.extend_from_slice(&data);
+        } else if length > limit.saturating_mul(DROPPED_FACTOR) {
+            break;
+        }
+    }
+    if length > limit {
+        return Err(BodyError::TooLong { limit });
+    }
+    Ok(whole.freeze())
+}
+
 /// A response with a JSON body.
 pub fn json_response<T: Serialize>(status: StatusCode, value: &T) -> Response<ResponseBody> {
     let bytes = serde_json::to_vec(value).unwrap_or_default();
