--- /dev/null
+++ b/crates/mastknot_core/src/dispatch/asking.rs
@@ -0,0 +1,172 @@
+//! Stating demand to sides and peers, and keeping idle credits alive.
+
+use std::time::Duration;
+
+use super::pooled_side::PooledSide;
+use super::{DispatchEffect, Dispatcher};
+use crate::message::{CreditSeq, Demand, EntryMessage};
+use crate::types::{Moment, NodeName};
+
+/// How often demand is stated again to a side while tasks wait.
+const DEMAND_INTERVAL: Duration = Duration::from_millis(300);
+/// How often demand is stated to a side that is not known to have resting slots.
+const BLIND_DEMAND_INTERVAL: Duration = Duration::from_secs(1);
+
+impl Dispatcher {
+    /// What waits here.
+    pub(super) fn demand(&self) -> Demand {
+        Demand {
+            wanted: self.queue.waiting(),
+            urgency: self.queue.first_order().unwrap_or(u64::MAX),
+        }
+    }
+
+    /// Tasks wait and no credit is at hand: states the demand to sides with resting slots and to
+    /// peers.
+    pub(super) fn ask(&mut self, now: Moment, out: &mut Vec<DispatchEffect>) {
+        let demand = self.demand();
+        let is_due = |side: &PooledSide| {
+            let silent = side.told_at.map_or(Duration::MAX, |at| now.since(at));
+            let is_worth_it = side.resting > 0 && silent >= DEMAND_INTERVAL;
+            is_worth_it || silent >= BLIND_DEMAND_INTERVAL
+        };
+        let untold: Vec<NodeName> = self
+            .pool
+            .sides()
+            .filter(|(_, side)| !side.is_leaving && !side.is_paused(now) && is_due(side))
+            .map(|(name, _)| name.clone())
+            .take(demand.wanted as usize)
+            .collect();
+        for side in untold {
+            self.exchange(now, &side, Vec::new(), demand, out);
+        }
+        if self.entries > 1 {
+            self.ask_peers(now, demand, out);
+        }
+    }
+
+    /// Asks peers for credits for the first submission, if its own would take long.
+    pub(super) fn ask_peers(&mut self, now: Moment, demand: Demand, out: &mut Vec<DispatchEffect>) {
+        let first = demand.urgency.min(u64::from(demand.wanted)) as u32;
+        let wanted = Demand {
+            wanted: first.max(1),
+            urgency: demand.urgency,
+        };
+        let first = self.queue.first_key();
+        let is_due = self.asked_peers.is_none_or(|(at, asked)| {
+            let since = now.since(at);
+            since >= DEMAND_INTERVAL || (first != asked && since >= self.ask_interval())
+        });
+        if !is_due || self.own_wait(wanted.wanted) < self.ask_interval() {
+            return;
+        }
+        self.asked_peers = Some((now, first));
+        self.counters.peer_asks += 1;
+        let running = self.running;
+        let demand = wanted;
+        out.push(DispatchEffect::AskPeers { demand, running });
+    }
+
+    /// How long this entry's own credits would take to start this many tasks.
+    pub(super) fn own_wait(&self, tasks: u32) -> Duration {
+        let mean = Duration::from_micros(self.mean_cost_micros());
+        if self.running == 0 {
+            return mean;
+        }
+        mean * tasks / self.running
+    }
+
+    pub(super) fn exchange(
+        &mut self,
+        now: Moment,
+        side: &NodeName,
+        returned: Vec<CreditSeq>,
+        demand: Demand,
+        out: &mut Vec<DispatchEffect>,
+    ) {
+        let Some(incarnation) = self.pool.update(now, side, |side| {
+            side.told_at = Some(now);
+            // If some are left, the side's answer says so.
+            side.resting = 0;
+            side.incarnation()
+        }) else {
+            return;
+        };
+        self.counters.exchanges += 1;
+        let message = EntryMessage::Exchange {
+            incarnation,
+            returned,
+            demand,
+        };
+        let side = side.clone();
+        out.push(DispatchEffect::ToSide { side, message });
+    }
+
+    /// Idle credits worth keeping alive: recent use and a reserve.
+    pub(super) fn reserve(&self) -> usize {
+        self.peak_running as usize + self.profile.idle_reserve as usize
+    }
+
+    pub(super) fn ask_for_reserve(
+        &mut self,
+        now: Moment,
+        side: &NodeName,
+        out: &mut Vec<DispatchEffect>,
+    ) {
+        let lacking = self.reserve().saturating_sub(self.pool.idle()) as u32;
+        let slots = self
+            .pool
+            .side(side)
+            .map_or(0, |side| u32::from(side.hello.slots));
+        let share = slots.div_ceil(self.entries);
+        let wanted = share.min(lacking).max(self.queue.waiting().min(slots));
+        if wanted > 0 {
+            let urgency = self.demand().urgency;
+            let demand = Demand { wanted, urgency };
+            self.exchange(now, side, Vec::new(), demand, out);
+        }
+    }
+
+    /// Exchanges idle credits that near their end, up to the reserve; the rest may lapse.
+    pub(super) fn renew(&mut self, now: Moment, out: &mut Vec<DispatchEffect>) {
+        self.renewed_at = now;
+        self.counters.credits_lapsed += self.pool.drop_expired(now);
+        let mut allowed = self.reserve();
+        let due: Vec<(NodeName, usize, usize)> = self
+            .pool
+            .sides()
+            .map(|(name, side)| {
+                let ending = side.ending(now).count();
+                (name.clone(), ending, side.credits.len() - ending)
+            })
+            .collect();
+        for (side, ending, fresh) in due {
+            allowed = allowed.saturating_sub(fresh);
+            let renewed = ending.min(allowed);
+            allowed -= renewed;
+            if renewed == 0 {
+                continue;
+            }
+            let returned = self.take_ending(now, &side, renewed);
+            let demand = Demand {
+                wanted: renewed as u32,
+                urgency: self.demand().urgency,
+            };
+            self.exchange(now, &side, returned, demand, out);
+        }
+    }
+
+    pub(super) fn take_ending(
+        &mut self,
+        now: Moment,
+        side: &NodeName,
+        most: usize,
+    ) -> Vec<CreditSeq> {
+        let taken = self.pool.update(now, side, |side| {
+            let seqs: Vec<CreditSeq> = side.ending(now).take(most).collect();
+            side.credits.retain(|credit| !seqs.contains(&credit.seq));
+            seqs
+        });
+        taken.unwrap_or_default()
+    }
+}
--- a/crates/mastknot_core/src/dispatch/mod.rs
+++ b/crates/mastknot_core/src/dispatch/mod.rs
@@ -1,17 +1,23 @@
 //! Queues, fairness, placement and early refusal at one entry.
 
 mod active_submission;
+mod asking;
 mod credit_pool;
 mod dispatch_counters;
 mod dispatch_effect;
 mod dispatcher;
 mod fair_level;
 mod fair_queue;
+mod hedging;
 mod job_order;
 mod peer_want;
 mod pooled_side;
+mod reports;
 mod retry_budget;
 mod service_estimate;
+mod sides;
+mod starting;
+mod submissions;
 
 pub use credit_pool::Candidate;
 pub use dispatch_counters::DispatchCounters;
--- /dev/null
+++ b/crates/mastknot_core/src/dispatch/starting.rs
@@ -0,0 +1,178 @@
+//! Spending credits on waiting tasks, here or at a peer.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use super::active_submission::Attempt;
+use super::{DispatchEffect, Dispatcher, ServiceEstimate};
+use crate::decision::{Decision, Rule};
+use crate::message::{CreditSeq, EntryMessage, SideCredit, TaskOrder};
+use crate::types::{Moment, NodeName, TaskId};
+
+/// The longest time over which the peak of running tasks is remembered.
+const PEAK_WINDOW: Duration = Duration::from_secs(2);
+
+impl Dispatcher {
+    /// Spends credits on waiting tasks, here or at a peer that has something more urgent, until
+    /// the one or the other runs out.
+    pub(super) fn pump(&mut self, now: Moment, out: &mut Vec<DispatchEffect>) {
+        let mut lent: BTreeMap<NodeName, Vec<SideCredit>> = BTreeMap::new();
+        while self.pool.idle() > 0 {
+            if let Some(peer) = self.peer_to_serve(now, !lent.is_empty()) {
+                if !self.lend_one(now, &peer, &mut lent) {
+                    break;
+                }
+            } else if self.queue.waiting() == 0 || !self.start_next(now, out) {
+                break;
+            }
+        }
+        for (peer, credits) in lent {
+            self.counters.credits_lent += credits.len() as u64;
+            out.push(DispatchEffect::Lend { peer, credits });
+        }
+        if self.queue.waiting() > 0 {
+            self.ask(now, out);
+        }
+    }
+
+    /// The peer that the next idle credit goes to, if it does not stay here.
+    ///
+    /// While nothing waits here there is no hurry: a batch is collected first.
+    pub(super) fn peer_to_serve(&self, now: Moment, is_lending: bool) -> Option<NodeName> {
+        if self.peer_wants.is_empty() {
+            return None;
+        }
+        let own = self.queue.first_order();
+        if own.is_none() && self.pool.idle() <= self.kept_credits() {
+            return None;
+        }
+        let (peer, want) = self
+            .peer_wants
+            .iter()
+            .filter(|(_, want)| want.counts(now) && want.goes_first(now, own, self.running))
+            .min_by_key(|(_, want)| want.demand.urgency)?;
+        let batch = want.demand.wanted.min(self.profile.lend_batch) as usize;
+        let may_lend = is_lending || own.is_some() || self.pool.idle() >= batch;
+        may_lend.then(|| peer.clone())
+    }
+
+    /// Idle credits that are not lent while nothing waits here.
+    pub(super) fn kept_credits(&self) -> usize {
+        let all = self.running as usize + self.pool.idle();
+        all * self.profile.keep_credits_percent as usize / 100
+    }
+
+    pub(super) fn lend_one(
+        &mut self,
+        now: Moment,
+        peer: &NodeName,
+        lent: &mut BTreeMap<NodeName, Vec<SideCredit>>,
+    ) -> bool {
+        let Some(credit) = self.pool.lend_one(now) else {
+            return false;
+        };
+        if let Some(want) = self.peer_wants.get_mut(peer) {
+            want.note_lent();
+        }
+        lent.entry(peer.clone()).or_default().push(credit);
+        true
+    }
+
+    pub(super) fn start_next(&mut self, now: Moment, out: &mut Vec<DispatchEffect>) -> bool {
+        let pool = &self.pool;
+        let cost = self.mean_cost_micros();
+        let Some(queued) = self.queue.pop(cost, |service| pool.has_credit(service)) else {
+            return false;
+        };
+        let task = queued.task;
+        let Some((side, credit, candidates)) = self.pool.take(now, &queued.service, &[]) else {
+            return false;
+        };
+        let had_to_wait = now > queued.since;
+        self.start_rate.record(now, had_to_wait);
+        self.retry_budget.note_first_start();
+        let decision = Decision::new(task.key, Rule::BestCredit)
+            .task(task.index)
+            .chosen(side.clone(), candidates)
+            .waited(now.since(queued.since));
+        out.push(DispatchEffect::Decided(decision));
+        self.send_start(now, task, side, credit, queued.since, out);
+        true
+    }
+
+    pub(super) fn mean_cost_micros(&self) -> u64 {
+        let count = self.estimates.len().max(1) as u64;
+        let sum: u64 = self
+            .estimates
+            .values()
+            .map(|estimate| estimate.mean().as_micros() as u64)
+            .sum();
+        (sum / count).max(1)
+    }
+
+    pub(super) fn send_start(
+        &mut self,
+        now: Moment,
+        task: TaskId,
+        side: NodeName,
+        credit: CreditSeq,
+        queued_at: Moment,
+        out: &mut Vec<DispatchEffect>,
+    ) {
+        let demand = self.demand();
+        let incarnation = self
+            .pool
+            .update(now, &side, |side| {
+                side.told_at = Some(now);
+                side.incarnation()
+            })
+            .expect("a credit was taken from this side");
+        let estimate = self.estimates.values().next().map(ServiceEstimate::mean);
+        let submission = self.active.get_mut(&task.key).expect("queued is active");
+        let left = submission.deadline.since(now);
+        let order = TaskOrder {
+            task,
+            count: submission.results.len() as u16,
+            digest: submission.digest,
+            service: submission.service.clone(),
+            deadline_ms: left.as_millis() as u32,
+            payload: submission.payloads[usize::from(task.index)].clone(),
+        };
+        let attempt = Attempt {
+            side: side.clone(),
+            incarnation,
+            credit,
+            at: now,
+            queued_at,
+        };
+        submission
+            .attempts
+            .entry(task.index)
+            .or_default()
+            .push(attempt);
+        let may_hedge = submission.is_repeatable() && self.profile.hedge_after_percent > 0;
+        if may_hedge {
+            let usual = estimate.unwrap_or(submission.definition.typical());
+            let after = usual * self.profile.hedge_after_percent / 100;
+            self.hedges.insert((now + after, task.key));
+        }
+        self.running += 1;
+        self.note_peak(now);
+        self.counters.starts += 1;
+        let message = EntryMessage::Start {
+            incarnation,
+            credit,
+            order,
+            demand,
+        };
+        out.push(DispatchEffect::ToSide { side, message });
+    }
+
+    pub(super) fn note_peak(&mut self, now: Moment) {
+        let is_old = now.since(self.peak_at) > PEAK_WINDOW;
+        if self.running >= self.peak_running || is_old {
+            self.peak_running = self.running;
+            self.peak_at = now;
+        }
+    }
+}
--- /dev/null
+++ b/crates/mastknot_virtual/src/system/messages.rs
@@ -0,0 +1,133 @@
+//! Messages between processes, and what becomes of them.
+
+use mastknot_core::entry::EntryEvent;
+use mastknot_core::message::{EntryMessage, PeerMessage, SideMessage};
+use mastknot_core::side::SideEvent;
+use mastknot_core::types::{Hall, NodeName};
+
+use super::virtual_system::*;
+use super::{EntryIndex, SideIndex};
+use crate::{Fate, MessageKind};
+
+impl VirtualSystem {
+    /// When a message sent now arrives, keeping the order of its link; none if it is cut off.
+    pub(super) fn delivery(&mut self, from: (NodeName, Hall), to: (NodeName, Hall)) -> u64 {
+        let delay = self.delays.between(&from.1, &to.1).as_micros() as u64;
+        let latest = self.latest.entry((from.0, to.0)).or_default();
+        *latest = (*latest).max(self.now + delay);
+        *latest
+    }
+
+    /// The times at which a message arrives, by the rules that are in force.
+    pub(super) fn arrivals(&mut self, kind: MessageKind, at: u64) -> Vec<u64> {
+        let found = self
+            .rules
+            .iter_mut()
+            .find(|rule| rule.kind == kind && rule.count > 0);
+        let Some(rule) = found else {
+            return vec![at];
+        };
+        rule.count -= 1;
+        match rule.fate {
+            Fate::Lost => vec![],
+            Fate::Delayed(by) => vec![at + by.as_micros() as u64],
+            Fate::Duplicated(by) => vec![at, at + by.as_micros() as u64],
+        }
+    }
+
+    pub(super) fn send_to_side(&mut self, from: EntryIndex, to: SideIndex, message: EntryMessage) {
+        let kind = MessageKind::from(&message);
+        self.messages.note(kind);
+        self.fire(kind, Some(from), Some(to));
+        let (a, b) = (entry_end(&self.entries[from]), side_end(&self.sides[to]));
+        let entry = a.0.clone();
+        if !self.sides[to].links.contains(&entry) {
+            return;
+        }
+        if self.is_cut(&a.1, &b.1) {
+            let incarnation = self.sides[to].settings.incarnation;
+            let event = Box::new(SideEvent::FromEntry { entry, message });
+            let action = Action::ToSide {
+                side: to,
+                incarnation,
+                event,
+            };
+            return self.hold(End::Entry(from), End::Side(to), action);
+        }
+        let at = self.delivery(a, b);
+        for at in self.arrivals(kind, at) {
+            let entry = entry.clone();
+            let message = message.clone();
+            self.at_side(at, to, SideEvent::FromEntry { entry, message });
+        }
+    }
+
+    pub(super) fn send_to_entry(&mut self, from: SideIndex, to: EntryIndex, message: SideMessage) {
+        let kind = MessageKind::from(&message);
+        self.messages.note(kind);
+        self.fire(kind, Some(to), Some(from));
+        let (a, b) = (side_end(&self.sides[from]), entry_end(&self.entries[to]));
+        let side = a.0.clone();
+        let incarnation = self.sides[from].settings.incarnation;
+        if self.is_cut(&a.1, &b.1) {
+            let event = Box::new(EntryEvent::FromSide {
+                side,
+                incarnation,
+                message,
+            });
+            let action = Action::ToEntry {
+                entry: to,
+                incarnation: self.entries[to].incarnation(),
+                event,
+            };
+            return self.hold(End::Side(from), End::Entry(to), action);
+        }
+        let at = self.delivery(a, b);
+        for at in self.arrivals(kind, at) {
+            let event = EntryEvent::FromSide {
+                side: side.clone(),
+                incarnation,
+                message: message.clone(),
+            };
+            self.at_entry(at, to, event);
+        }
+    }
+
+    pub(super) fn break_side_link(&mut self, entry: EntryIndex, side: SideIndex) {
+        let name = self.entries[entry].name().clone();
+        if !self.sides[side].links.remove(&name) {
+            return;
+        }
+        let event = EntryEvent::SideLost {
+            side: self.sides[side].settings.side.clone(),
+            incarnation: self.sides[side].settings.incarnation,
+        };
+        self.at_entry(self.now, entry, event);
+        self.at_side(self.now, side, SideEvent::EntryLeft { entry: name });
+    }
+
+    pub(super) fn send_to_peer(&mut self, from: EntryIndex, to: EntryIndex, message: PeerMessage) {
+        let kind = MessageKind::from(&message);
+        self.messages.note(kind);
+        self.fire(kind, Some(to), None);
+        let (a, b) = (entry_end(&self.entries[from]), entry_end(&self.entries[to]));
+        let peer = self.entries[from].settings.me.id.clone();
+        if self.is_cut(&a.1, &b.1) {
+            let event = Box::new(EntryEvent::FromPeer { peer, message });
+            let action = Action::ToEntry {
+                entry: to,
+                incarnation: self.entries[to].incarnation(),
+                event,
+            };
+            return self.hold(End::Entry(from), End::Entry(to), action);
+        }
+        let at = self.delivery(a, b);
+        for at in self.arrivals(kind, at) {
+            let event = EntryEvent::FromPeer {
+                peer: peer.clone(),
+                message: message.clone(),
+            };
+            self.at_entry(at, to, event);
+        }
+    }
+}
--- a/crates/mastknot_virtual/src/system/mod.rs
+++ b/crates/mastknot_virtual/src/system/mod.rs
@@ -1,9 +1,15 @@
 //! Entries and sides in virtual time.
 
+mod building;
+mod callers;
 mod delays;
+mod entries;
+mod fault_injection;
 mod message_counts;
+mod messages;
 mod nodes;
 mod schedule;
+mod sides;
 mod virtual_system;
 
 pub use delays::Delays;
