perf(entry): bounded control messages at many sides

Cause, from the slopes and from reading with them: every entry sent every change to every side, not only the responsible one; a job of 400 tasks asked 192 sides; idle credits were renewed side by side, one message pair each; idle processor time grew with the sides. Change: other entries step in only when a side still lags after a second, and a side tells every entry what it has in force; a demand goes to just enough sides to have the slots, and not again within 5 ms; at most three sides are renewed at a check, the fullest first, four checks a second instead of ten. A resubmission no longer waits for an earlier holder that is connected but silent (it was asked until the deadline on real processes: 81 callers of 2,042 had no final answer within 12 s while an entry was stopped for 30 s).

--- a/crates/mastknot_core/src/dispatch/asking.rs
+++ b/crates/mastknot_core/src/dispatch/asking.rs
@@ -12,6 +12,11 @@
 /// How often demand is stated to a side that is not known to have resting slots.
 const BLIND_DEMAND_INTERVAL: Duration = Duration::from_secs(1);
 
+/// How long sides have to answer before others are asked as well.
+const SIDE_ASK_INTERVAL: Duration = Duration::from_millis(5);
+/// Sides whose idle credits are renewed at one check; the rest may lapse.
+const RENEWED_SIDES: usize = 3;
+
 impl Dispatcher {
     /// What waits here.
     pub(super) fn demand(&self) -> Demand {
@@ -25,24 +30,39 @@
     /// peers.
     pub(super) fn ask(&mut self, now: Moment, out: &mut Vec<DispatchEffect>) {
         let demand = self.demand();
+        if self.entries > 1 {
+            self.ask_peers(now, demand, out);
+        }
+        // What was asked for a moment ago is still on its way.
+        let asked_lately = self
+            .asked_sides_at
+            .is_some_and(|at| now.since(at) < SIDE_ASK_INTERVAL);
+        if asked_lately {
+            return;
+        }
+        self.asked_sides_at = Some(now);
         let is_due = |side: &PooledSide| {
             let silent = side.told_at.map_or(Duration::MAX, |at| now.since(at));
             let is_worth_it = side.resting > 0 && silent >= DEMAND_INTERVAL;
             is_worth_it || silent >= BLIND_DEMAND_INTERVAL
         };
-        let untold: Vec<NodeName> = self
+        let due = self
             .pool
             .sides()
-            .filter(|(_, side)| !side.is_leaving && !side.is_paused(now) && is_due(side))
-            .map(|(name, _)| name.clone())
-            .take(demand.wanted as usize)
+            .filter(|(_, side)| !side.is_leaving && !side.is_paused(now) && is_due(side));
+        let mut untold: Vec<(u16, NodeName)> = due
+            .map(|(name, side)| (side.resting, name.clone()))
             .collect();
-        for side in untold {
+        untold.sort_by_key(|(resting, _)| std::cmp::Reverse(*resting));
+        // Enough sides to have the slots; the others are asked when these had fewer.
+        let mut missing = demand.wanted;
+        for (resting, side) in untold {
+            if missing == 0 {
+                break;
+            }
+            missing = missing.saturating_sub(u32::from(resting.max(1)));
             self.exchange(now, &side, Vec::new(), demand, out);
         }
-        if self.entries > 1 {
-            self.ask_peers(now, demand, out);
-        }
     }
 
     /// Asks peers for credits for the first submission, if its own would take long.
@@ -132,20 +152,21 @@
         self.renewed_at = now;
         self.counters.credits_lapsed += self.pool.drop_expired(now);
         let mut allowed = self.reserve();
-        let due: Vec<(NodeName, usize, usize)> = self
-            .pool
-            .sides()
-            .map(|(name, side)| {
-                let ending = side.ending(now).count();
-                (name.clone(), ending, side.credits.len() - ending)
-            })
-            .collect();
-        for (side, ending, fresh) in due {
-            allowed = allowed.saturating_sub(fresh);
+        let mut due: Vec<(usize, NodeName)> = Vec::new();
+        for (name, side) in self.pool.sides() {
+            let ending = side.ending(now).count();
+            allowed = allowed.saturating_sub(side.credits.len() - ending);
+            if ending > 0 {
+                due.push((ending, name.clone()));
+            }
+        }
+        // One message renews all credits of a side, so the sides with many go first.
+        due.sort_by_key(|(ending, _)| std::cmp::Reverse(*ending));
+        for (ending, side) in due.into_iter().take(RENEWED_SIDES) {
             let renewed = ending.min(allowed);
             allowed -= renewed;
             if renewed == 0 {
-                continue;
+                break;
             }
             let returned = self.take_ending(now, &side, renewed);
             let demand = Demand {
--- a/crates/mastknot_core/src/dispatch/dispatcher.rs
+++ b/crates/mastknot_core/src/dispatch/dispatcher.rs
@@ -14,7 +14,7 @@
 use crate::types::{Hall, Incarnation, Moment, NodeName, SubmissionKey};
 
 /// How often idle credits are checked for renewal.
-const RENEW_INTERVAL: Duration = Duration::from_millis(100);
+const RENEW_INTERVAL: Duration = Duration::from_millis(250);
 
 /// What an operator sees of a side.
 #[derive(Clone, Debug, PartialEq, Serialize)]
@@ -63,6 +63,7 @@
     pub(super) peak_running: u32,
     pub(super) peak_at: Moment,
     pub(super) renewed_at: Moment,
+    pub(super) asked_sides_at: Option<Moment>,
     /// When peers were last asked, and for which submission.
     pub(super) asked_peers: Option<(Moment, Option<SubmissionKey>)>,
     pub(super) peer_wants: BTreeMap<NodeName, PeerWant>,
@@ -90,6 +91,7 @@
             peak_running: 0,
             peak_at: Moment::default(),
             renewed_at: Moment::default(),
+            asked_sides_at: None,
             asked_peers: None,
             peer_wants: BTreeMap::new(),
         }
--- a/crates/mastknot_core/src/entry/entry_core.rs
+++ b/crates/mastknot_core/src/entry/entry_core.rs
@@ -26,7 +26,7 @@
 pub(super) struct SideLink {
     pub(super) incarnation: Incarnation,
     pub(super) config_version: u64,
-    pub(super) config_sent_at: Moment,
+    pub(super) config_sent_at: Option<Moment>,
 }
 
 /// A submission that has no answer yet, as operators see it.
@@ -71,6 +71,7 @@
     pub(super) peer_versions: BTreeMap<NodeName, u64>,
     pub(super) team_use: BTreeMap<NodeName, Vec<(NodeName, u32)>>,
     pub(super) team_use_sent: Vec<(NodeName, u32)>,
+    pub(super) config_changed_at: Moment,
     pub(super) gossip_at: Moment,
     pub(super) next_id: u64,
     pub(super) is_stopping: bool,
@@ -98,6 +99,7 @@
             peer_versions: BTreeMap::new(),
             team_use: BTreeMap::new(),
             team_use_sent: Vec::new(),
+            config_changed_at: Moment::default(),
             gossip_at: Moment::default(),
             next_id: 1,
             is_stopping: false,
--- a/crates/mastknot_core/src/entry/peers.rs
+++ b/crates/mastknot_core/src/entry/peers.rs
@@ -128,6 +128,11 @@
             return;
         }
         let version = self.config.version();
+        self.config_changed_at = now.monotonic;
+        // What was sent before is no reason to wait with what is new.
+        for link in self.sides.values_mut() {
+            link.config_sent_at = None;
+        }
         self.apply_teams();
         self.apply_profile();
         out.push(EntryEffect::ConfigAdvanced { version });
--- a/crates/mastknot_core/src/entry/sides.rs
+++ b/crates/mastknot_core/src/entry/sides.rs
@@ -83,7 +83,7 @@
         let link = SideLink {
             incarnation: hello.incarnation,
             config_version: hello.config_version,
-            config_sent_at: Moment::default(),
+            config_sent_at: None,
         };
         let side = hello.side.clone();
         self.sides.insert(side.clone(), link);
@@ -121,7 +121,7 @@
             .sides
             .iter()
             .filter(|(_, link)| link.config_version < version)
-            .filter(|(name, link)| self.is_due(now, name, link))
+            .filter(|(name, link)| self.is_due(now.monotonic, name, link))
             .map(|(name, _)| name.clone())
             .collect();
         for side in lagging {
@@ -129,9 +129,15 @@
         }
     }
 
-    fn is_due(&self, now: Now, side: &NodeName, link: &SideLink) -> bool {
-        let has_waited = now.monotonic.since(link.config_sent_at) >= CONFIG_PATIENCE;
-        has_waited || self.is_responsible_for(side)
+    fn is_due(&self, now: Moment, side: &NodeName, link: &SideLink) -> bool {
+        let since_sent = link
+            .config_sent_at
+            .map_or(Duration::MAX, |at| now.since(at));
+        if since_sent < CONFIG_PATIENCE {
+            return false;
+        }
+        let is_overdue = now.since(self.config_changed_at) >= CONFIG_PATIENCE;
+        is_overdue || self.is_responsible_for(side)
     }
 
     /// Whether this entry is the one of the roster that supplies the side.
@@ -157,7 +163,7 @@
         if link.config_version >= version {
             return;
         }
-        link.config_sent_at = now.monotonic;
+        link.config_sent_at = Some(now.monotonic);
         self.counters.config_sent += 1;
         let delta = self.config.delta_since(link.config_version);
         out.push(EntryEffect::ToSide {
--- a/crates/mastknot_core/src/roster/membership.rs
+++ b/crates/mastknot_core/src/roster/membership.rs
@@ -166,7 +166,9 @@
             if view.has_handed_over && view.incarnation == holder.incarnation {
                 continue;
             }
-            if view.is_connected && !view.is_dead(holder.incarnation) {
+            // One that is silent would keep the caller waiting; what it ran can be rebuilt.
+            let is_silent = self.is_silent(now.monotonic, holder);
+            if view.is_connected && !is_silent && !view.is_dead(holder.incarnation) {
                 to_ask.push(holder.clone());
             } else {
                 is_unknown = true;
--- a/crates/mastknot_core/src/side/side_core.rs
+++ b/crates/mastknot_core/src/side/side_core.rs
@@ -203,9 +203,15 @@
             EntryMessage::Config(delta) => {
                 let before = self.config.version();
                 self.config.apply(&delta);
-                if self.config.version() > before || delta.version <= before {
-                    let version = self.config.version();
-                    let message = SideMessage::ConfigInForce { version };
+                let version = self.config.version();
+                let message = SideMessage::ConfigInForce { version };
+                if version == before {
+                    effects.push(SideEffect::Send { entry, message });
+                    return;
+                }
+                // Every entry learns it, so that no other one sends the same again.
+                for entry in self.entries.keys() {
+                    let (entry, message) = (entry.clone(), message.clone());
                     effects.push(SideEffect::Send { entry, message });
                 }
             }
--- a/crates/mastknot_load/src/lib.rs
+++ b/crates/mastknot_load/src/lib.rs
@@ -18,5 +18,5 @@
 pub use error::LoadError;
 pub use faults::{FaultAudit, FaultPhase, FaultsPlan, FaultsReport, run_faults};
 pub use overhead::{OverheadPlan, OverheadReport, measure_overhead};
-pub use slopes::{Line, Point, Slope, SlopesPlan, measure_slopes};
+pub use slopes::{Line, Point, Slope, SlopeGroup, SlopesPlan, measure_slopes};
 pub use throughput::{ThroughputPlan, ThroughputReport, measure_throughput};
--- a/crates/mastknot_load/src/main.rs
+++ b/crates/mastknot_load/src/main.rs
@@ -5,9 +5,9 @@
 use bpaf::{OptionParser, Parser, construct, long};
 use mastknot_core::config::Profile;
 use mastknot_load::{
-    Arm, Baseline, BenchProfile, ComparePlan, FaultsPlan, LoadError, OverheadPlan, SlopesPlan,
-    ThroughputPlan, compare, format_table, measure_overhead, measure_slopes, measure_throughput,
-    run_faults,
+    Arm, Baseline, BenchProfile, ComparePlan, FaultsPlan, LoadError, OverheadPlan, SlopeGroup,
+    SlopesPlan, ThroughputPlan, compare, format_table, measure_overhead, measure_slopes,
+    measure_throughput, run_faults,
 };
 use serde::Serialize;
 
@@ -162,7 +162,12 @@
 
 fn slopes() -> impl Parser<Command> {
     let seconds = number("seconds", "How long each point is measured [10]", 10);
-    construct!(SlopesPlan { seconds })
+    let groups = long("only")
+        .help("sides, tasks, ledger, entries or changes [all]")
+        .argument::<String>("GROUP")
+        .parse(|text| SlopeGroup::named(&text).ok_or(format!("{text:?} is no group")))
+        .fallback(SlopeGroup::ALL);
+    construct!(SlopesPlan { seconds, groups })
         .map(Command::Slopes)
         .to_options()
         .descr("How each role's cost grows; starts entries and sides as processes")
--- a/crates/mastknot_load/src/slopes/bed.rs
+++ b/crates/mastknot_load/src/slopes/bed.rs
@@ -23,6 +23,7 @@
     pub(super) at: Option<Instant>,
     pub(super) usage: Usage,
     pub(super) control_bytes: f64,
+    pub(super) control_messages: f64,
     pub(super) store_calls: f64,
     pub(super) answers: f64,
 }
@@ -168,6 +169,8 @@
                 .unwrap_or_default(),
             control_bytes: number(&links["control_bytes_sent"])
                 + number(&links["control_bytes_received"]),
+            control_messages: number(&links["control_messages_sent"])
+                + number(&links["control_messages_received"]),
             store_calls: store.map(|(_, count)| number(count)).sum(),
             answers: number(&counters["dispatch"]["answers"]),
         })
--- a/crates/mastknot_load/src/slopes/measure.rs
+++ b/crates/mastknot_load/src/slopes/measure.rs
@@ -11,11 +11,52 @@
 use crate::keys::new_key;
 use crate::process::{SideProcess, Usage};
 
+/// What is varied.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SlopeGroup {
+    /// Sides of one entry.
+    Sides,
+    /// Tasks a second.
+    Tasks,
+    /// Kept submissions.
+    Ledger,
+    /// Entries of the roster.
+    Entries,
+    /// Configuration changes.
+    Changes,
+}
+
+impl SlopeGroup {
+    /// All of them.
+    pub const ALL: &'static [Self] = &[
+        Self::Sides,
+        Self::Tasks,
+        Self::Ledger,
+        Self::Entries,
+        Self::Changes,
+    ];
+
+    /// The one of this name, as a list to measure.
+    pub fn named(name: &str) -> Option<&'static [Self]> {
+        match name {
+            "all" => Some(Self::ALL),
+            "sides" => Some(&[Self::Sides]),
+            "tasks" => Some(&[Self::Tasks]),
+            "ledger" => Some(&[Self::Ledger]),
+            "entries" => Some(&[Self::Entries]),
+            "changes" => Some(&[Self::Changes]),
+            _ => None,
+        }
+    }
+}
+
 /// What is measured.
 #[derive(Clone, Copy, Debug)]
 pub struct SlopesPlan {
     /// How long each point is measured, in seconds.
     pub seconds: u64,
+    /// What is varied, one after the other.
+    pub groups: &'static [SlopeGroup],
 }
 
 /// One slope, with what was varied and what was measured.
@@ -80,11 +121,16 @@
 
 /// Measures all slopes.
 pub async fn measure_slopes(plan: SlopesPlan) -> Result<Vec<Slope>, LoadError> {
-    let mut slopes = over_sides(plan).await?;
-    slopes.extend(over_task_rate(plan).await?);
-    slopes.extend(over_ledger().await?);
-    slopes.extend(over_entries(plan).await?);
-    slopes.extend(over_changes().await?);
+    let mut slopes = Vec::new();
+    for group in plan.groups {
+        slopes.extend(match group {
+            SlopeGroup::Sides => over_sides(plan).await?,
+            SlopeGroup::Tasks => over_task_rate(plan).await?,
+            SlopeGroup::Ledger => over_ledger().await?,
+            SlopeGroup::Entries => over_entries(plan).await?,
+            SlopeGroup::Changes => over_changes().await?,
+        });
+    }
     Ok(slopes)
 }
 
@@ -117,6 +163,11 @@
         varied,
         "control bytes a second",
     );
+    let mut messages = Sheet::new(
+        "entry_control_messages_per_side",
+        varied,
+        "messages a second",
+    );
     for sides in SIDES {
         let bed = Bed::start(1, sides, 8).await?;
         let (before, after) = idle(&bed, plan).await?;
@@ -124,8 +175,14 @@
         memory.add(x, after.usage.resident as f64);
         cpu.add(x, per_second(&before, &after, processor));
         bytes.add(x, per_second(&before, &after, |r| r.control_bytes));
+        messages.add(x, per_second(&before, &after, |r| r.control_messages));
     }
-    Ok(vec![memory.finish(), cpu.finish(), bytes.finish()])
+    Ok(vec![
+        memory.finish(),
+        cpu.finish(),
+        bytes.finish(),
+        messages.finish(),
+    ])
 }
 
 /// An entry and a side over the tasks a second that go through them.
@@ -226,7 +283,7 @@
 
 /// An idle entry over the entries of the roster.
 async fn over_entries(plan: SlopesPlan) -> Result<Vec<Slope>, LoadError> {
-    let varied = "entries of the roster, 10 sides";
+    let varied = "entries of the roster, 11 sides";
     let mut bytes = Sheet::new(
         "entry_control_bytes_per_entry",
         varied,
@@ -237,14 +294,41 @@
         varied,
         "calls of all entries a second",
     );
+    let mut messages = Sheet::new(
+        "entry_control_messages_per_entry",
+        varied,
+        "messages a second",
+    );
+    let side_varied = "entries that a side is connected to, idle";
+    let mut side_cpu = Sheet::new("side_cpu_per_entry", side_varied, "processor ms a second");
+    let mut side_memory = Sheet::new("side_memory_per_entry", side_varied, "resident bytes");
     for entries in ENTRIES {
         let bed = Bed::start(entries, 10, 8).await?;
+        let links: Vec<std::net::SocketAddr> = bed.entries.iter().map(|e| e.links).collect();
+        let target = bed.worker.address();
+        let side = SideProcess::start(&bed.root, "side-a", "hall-1", 8, target, &links)?;
+        bed.settle(11).await?;
+        let side_usage = || side.process.as_ref().map(|p| p.usage()).unwrap_or_default();
+        let side_before: Usage = side_usage();
+        let started = Instant::now();
         let (before, after) = idle(&bed, plan).await?;
+        let side_after: Usage = side_usage();
+        let seconds = started.elapsed().as_secs_f64();
         let x = entries as f64;
+        let spent = side_after.processor.saturating_sub(side_before.processor);
+        side_cpu.add(x, spent.as_secs_f64() * 1e3 / seconds);
+        side_memory.add(x, side_after.resident as f64);
+        messages.add(x, per_second(&before, &after, |r| r.control_messages));
         bytes.add(x, per_second(&before, &after, |r| r.control_bytes));
         store.add(x, x * per_second(&before, &after, |r| r.store_calls));
     }
-    Ok(vec![bytes.finish(), store.finish()])
+    Ok(vec![
+        bytes.finish(),
+        messages.finish(),
+        store.finish(),
+        side_cpu.finish(),
+        side_memory.finish(),
+    ])
 }
 
 /// Control bytes and the time until in force over configuration changes.
--- a/crates/mastknot_load/src/slopes/mod.rs
+++ b/crates/mastknot_load/src/slopes/mod.rs
@@ -8,4 +8,4 @@
 mod measure;
 
 pub use line::{Line, Point};
-pub use measure::{Slope, SlopesPlan, measure_slopes};
+pub use measure::{Slope, SlopeGroup, SlopesPlan, measure_slopes};
--- a/crates/mastknot_virtual/tests/found_failures.rs
+++ b/crates/mastknot_virtual/tests/found_failures.rs
@@ -122,3 +122,20 @@
     assert_eq!(system.audit.total_starts(), 6);
     assert_kept(&system);
 }
+
+/// A resubmission was asked of an earlier holder that was paused, until its deadline.
+#[test]
+fn a_paused_earlier_holder_is_not_waited_for() {
+    let mut system = system(3, 2, 4, 7);
+    let key = key_held_by(&mut system, 1);
+    let first = system.submit(1, job(key, 3, 50));
+    system.run_for(Duration::from_secs(1));
+    assert!(is_complete(system.reply(first)));
+    system.pause_entry(1, Duration::from_secs(30));
+    system.run_for(Duration::from_secs(6));
+    let again = system.submit(0, job(key, 3, 50));
+    system.run_for(Duration::from_secs(1));
+    assert_eq!(system.reply(again), system.reply(first));
+    assert_eq!(system.audit.total_starts(), 3);
+    assert_kept(&system);
+}
