fix(dispatch): do not start what can't be done before its deadline

Cause: at twice the capacity 182 of some 6,400 accepted requests (1 s deadline, 100 ms tasks) were started too late to be answered, which wasted their slots and made their callers' outcome unknown. Ruled out: the estimate of the wait (its rate follows the starts within a window).

--- a/crates/mastknot_core/src/dispatch/starting.rs
+++ b/crates/mastknot_core/src/dispatch/starting.rs
@@ -6,7 +6,7 @@
 use super::active_submission::Attempt;
 use super::{DispatchEffect, Dispatcher, ServiceEstimate};
 use crate::decision::{Decision, Rule};
-use crate::message::{CreditSeq, EntryMessage, SideCredit, TaskOrder};
+use crate::message::{CreditSeq, EntryMessage, FailReason, SideCredit, TaskOrder};
 use crate::types::{Moment, NodeName, TaskId};
 
 /// The longest time over which the peak of running tasks is remembered.
@@ -85,6 +85,12 @@
             return false;
         };
         let task = queued.task;
+        if self.is_too_late(now, task) {
+            let team = self.active[&task.key].team.clone();
+            self.queue.note_ended(&team);
+            self.fail(now, task.key, FailReason::DeadlinePassed, out);
+            return true;
+        }
         let Some((side, credit, candidates)) = self.pool.take(now, &queued.service, &[]) else {
             return false;
         };
@@ -100,6 +106,18 @@
         true
     }
 
+    /// Whether nothing of a submission has started and its deadline leaves no time for a task:
+    /// it is refused, truthfully "not run", and its slot goes to one that can be done.
+    fn is_too_late(&self, now: Moment, task: TaskId) -> bool {
+        let submission = &self.active[&task.key];
+        if !submission.attempts.is_empty() || submission.may_have_run {
+            return false;
+        }
+        let is_untouched = usize::from(submission.missing) == submission.results.len();
+        let run = self.estimate(&submission.service, &submission.definition);
+        is_untouched && now + run > submission.deadline
+    }
+
     pub(super) fn mean_cost_micros(&self) -> u64 {
         let count = self.estimates.len().max(1) as u64;
         let sum: u64 = self
