--- a/crates/mastknot_core/src/config/profile.rs
+++ b/crates/mastknot_core/src/config/profile.rs
@@ -42,8 +42,8 @@
     pub const fn co_op() -> Self {
         Self {
             keep_credits_percent: 5,
-            ask_interval_ms: 20,
-            lend_batch: 16,
+            ask_interval_ms: 10,
+            lend_batch: 8,
             fairness_slack_s: 60,
             idle_reserve: 32,
             retry_budget_percent: 10,
--- a/crates/mastknot_core/src/entry/entry_core.rs
+++ b/crates/mastknot_core/src/entry/entry_core.rs
@@ -70,6 +70,7 @@
     pub(super) sides: BTreeMap<NodeName, SideLink>,
     pub(super) peer_versions: BTreeMap<NodeName, u64>,
     pub(super) team_use: BTreeMap<NodeName, Vec<(NodeName, u32)>>,
+    pub(super) team_quotas: BTreeMap<NodeName, u32>,
     pub(super) team_use_sent: Vec<(NodeName, u32)>,
     pub(super) config_changed_at: Moment,
     pub(super) gossip_at: Moment,
@@ -98,6 +99,7 @@
             sides: BTreeMap::new(),
             peer_versions: BTreeMap::new(),
             team_use: BTreeMap::new(),
+            team_quotas: BTreeMap::new(),
             team_use_sent: Vec::new(),
             config_changed_at: Moment::default(),
             gossip_at: Moment::default(),
@@ -411,6 +413,7 @@
             let Ok(team) = serde_json::from_str::<Team>(text) else {
                 continue;
             };
+            self.team_quotas.insert(name.clone(), team.quota);
             let elsewhere: u32 = self
                 .team_use
                 .values()
--- a/crates/mastknot_core/src/entry/peers.rs
+++ b/crates/mastknot_core/src/entry/peers.rs
@@ -161,13 +161,27 @@
         self.send_config_to_sides(now, out);
         // A peer that says nothing for long is voted out, so this goes out changed or not.
         self.tell_peers(&self.config_in_force(), out);
-        let running = self.dispatcher.running_by_team();
+        let running = self.teams_near_quota();
         if running != self.team_use_sent {
             self.team_use_sent = running.clone();
             self.tell_peers(&PeerMessage::TeamUse { running }, out);
         }
     }
 
+    /// Teams that run here more than half of their even share of a quota: the others can't be the
+    /// reason why one is beyond it, and naming all would cost too many bytes.
+    fn teams_near_quota(&self) -> Vec<(NodeName, u32)> {
+        let members = self.membership.roster().map(|roster| roster.members.len());
+        let entries = members.unwrap_or(1) as u64;
+        let is_near = |(team, running): &(NodeName, u32)| {
+            let quota = self.team_quotas.get(team);
+            quota.is_some_and(|quota| u64::from(*running) * 2 * entries >= u64::from(*quota))
+        };
+        let mut running = self.dispatcher.running_by_team();
+        running.retain(is_near);
+        running
+    }
+
     fn config_in_force(&self) -> PeerMessage {
         let version = self.config.version();
         let sides_at = self.sides.values().filter(|s| s.config_version >= version);
--- a/crates/mastknot_load/src/bench/compare.rs
+++ b/crates/mastknot_load/src/bench/compare.rs
@@ -203,6 +203,12 @@
     pairs.filter_map(ratio).collect()
 }
 
+/// The median of one figure over reports of one arm.
+pub(crate) fn median_of(reports: &[ArmReport], value: fn(&ArmReport) -> f64) -> f64 {
+    let mut values: Vec<f64> = reports.iter().map(value).collect();
+    quantile(&mut values, 0.5)
+}
+
 /// The medians over the seeds of each arm, as a table.
 pub fn format_table(reports: &[ArmReport]) -> String {
     let mut arms: Vec<&str> = Vec::new();
@@ -218,11 +224,8 @@
         "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |".to_owned(),
     ];
     for arm in arms {
-        let of_arm: Vec<&ArmReport> = reports.iter().filter(|r| r.arm == arm).collect();
-        let median = |value: fn(&ArmReport) -> f64| {
-            let mut values: Vec<f64> = of_arm.iter().map(|report| value(report)).collect();
-            quantile(&mut values, 0.5)
-        };
+        let of_arm: Vec<ArmReport> = reports.iter().filter(|r| r.arm == arm).cloned().collect();
+        let median = |value| median_of(&of_arm, value);
         lines.push(format!(
             "| {arm} | {:.3} | {:.3} | {:.3} | {:.2} | {:.3} | {:.4} | {:.3} | {:.0} | {:.0} |",
             median(|r| r.response_over_omniscient_p50),
--- a/crates/mastknot_load/src/bench/mod.rs
+++ b/crates/mastknot_load/src/bench/mod.rs
@@ -12,6 +12,7 @@
 mod workload;
 
 pub use arms::{Arm, Baseline};
+pub(crate) use compare::median_of;
 pub use compare::{ComparePlan, compare, format_table};
 pub use profile::BenchProfile;
 pub use report::{ArmReport, Outcome};
--- a/crates/mastknot_load/src/main.rs
+++ b/crates/mastknot_load/src/main.rs
@@ -1,13 +1,14 @@
 //! `mastknot-load`: measurements, each bounded in time and count.
 
+use std::path::PathBuf;
 use std::process::ExitCode;
 
 use bpaf::{OptionParser, Parser, construct, long};
 use mastknot_core::config::Profile;
 use mastknot_load::{
     Arm, Baseline, BenchProfile, ComparePlan, FaultsPlan, LoadError, OverheadPlan, SlopeGroup,
-    SlopesPlan, ThroughputPlan, compare, format_table, measure_overhead, measure_slopes,
-    measure_throughput, run_faults,
+    SlopesPlan, ThroughputPlan, compare, draw_trade, format_table, measure_overhead,
+    measure_slopes, measure_throughput, measure_trade, run_faults,
 };
 use serde::Serialize;
 
@@ -15,8 +16,16 @@
 enum Command {
     Overhead(OverheadPlan),
     Throughput(ThroughputPlan),
-    Compare { plan: ComparePlan, json: bool },
+    Compare {
+        plan: ComparePlan,
+        json: bool,
+    },
     Slopes(SlopesPlan),
+    Curve {
+        profile: BenchProfile,
+        seeds: Vec<u64>,
+        out: PathBuf,
+    },
     Faults(FaultsPlan),
 }
 
@@ -174,6 +183,29 @@
         .command("slopes")
 }
 
+fn curve() -> impl Parser<Command> {
+    let profile = long("profile")
+        .help("kalahari or co-op [kalahari]")
+        .argument::<BenchProfile>("NAME")
+        .fallback(BenchProfile::Kalahari);
+    let seeds = long("seeds")
+        .help("Seeds of the arrivals [1,2,3,4,5]")
+        .argument::<String>("LIST")
+        .parse(|text| list::<u64>(&text))
+        .fallback(vec![1, 2, 3, 4, 5]);
+    let out = long("out")
+        .help("File to draw (SVG)")
+        .argument::<PathBuf>("FILE");
+    construct!(Command::Curve {
+        profile,
+        seeds,
+        out
+    })
+    .to_options()
+    .descr("Response time against messages over the policy's weights, as a picture and as JSON")
+    .command("curve")
+}
+
 fn faults() -> impl Parser<Command> {
     let rate = number("rate", "Submissions a second [60]", 60);
     let pause_seconds = number("pause-seconds", "How long processes are paused [30]", 30);
@@ -189,8 +221,8 @@
 
 fn options() -> OptionParser<Command> {
     let (overhead, throughput, compare) = (overhead(), throughput(), compare_options());
-    let (slopes, faults) = (slopes(), faults());
-    construct!([overhead, throughput, compare, slopes, faults])
+    let (slopes, faults, curve) = (slopes(), faults(), curve());
+    construct!([overhead, throughput, compare, slopes, faults, curve])
         .to_options()
         .version(env!("CARGO_PKG_VERSION"))
         .descr("Measure mastknot; every run is bounded in time and count and stays on loopback")
@@ -213,6 +245,16 @@
             }
         }
         Command::Faults(plan) => print(&run_faults(plan).await?),
+        Command::Curve {
+            profile,
+            seeds,
+            out,
+        } => {
+            let points = measure_trade(profile, &seeds);
+            let title = format!("{}, load 0.75, seeds {seeds:?}", profile.name());
+            draw_trade(&points, &title, &out)?;
+            print(&points);
+        }
         Command::Slopes(plan) => print(&measure_slopes(plan).await?),
         Command::Throughput(plan) => print(&measure_throughput(plan).await?),
     }
--- a/crates/mastknot_virtual/tests/control_messages.rs
+++ b/crates/mastknot_virtual/tests/control_messages.rs
@@ -73,3 +73,24 @@
     );
     assert_kept(&system);
 }
+
+/// Entries named every team with running tasks to each other, whatever its quota.
+#[test]
+fn only_teams_near_their_quota_are_named_to_peers() {
+    let told = |quota: u32| {
+        let mut system = system(2, 2, 8, 5);
+        let value = format!(r#"{{"quota":{quota}}}"#);
+        system.write_resource("team", "team", &value);
+        system.run_for(SETTLE);
+        let before = system.messages.of(MessageKind::Other);
+        for _ in 0..4 {
+            let key = system.new_key();
+            system.submit(0, job(key, 8, 900));
+        }
+        system.run_for(Duration::from_secs(6));
+        assert_kept(&system);
+        system.messages.of(MessageKind::Other) - before
+    };
+    assert_eq!(told(100_000), 0);
+    assert!(told(4) > 0);
+}
