--- a/crates/mastknot_load/src/curve/mod.rs
+++ b/crates/mastknot_load/src/curve/mod.rs
@@ -29,6 +29,9 @@
     pub response_over_omniscient_p99: f64,
 }
 
+/// Reads one figure of a point.
+type Figure = fn(&TradePoint) -> f64;
+
 /// Measures the curve for one user's places.
 pub fn measure_trade(profile: BenchProfile, seeds: &[u64]) -> Vec<TradePoint> {
     let point = |(ask_interval_ms, lend_batch): (u32, u32)| {
@@ -88,7 +91,7 @@
         .x_desc("messages a task")
         .y_desc("response over omniscient queue")
         .draw()?;
-    let curves: [(&str, RGBColor, fn(&TradePoint) -> f64); 2] = [
+    let curves: [(&str, RGBColor, Figure); 2] = [
         ("p50", BLUE, |point| point.response_over_omniscient_p50),
         ("p99", RED, |point| point.response_over_omniscient_p99),
     ];
