--- a/crates/mastknot_cli/src/demo/steps.rs
+++ b/crates/mastknot_cli/src/demo/steps.rs
@@ -197,7 +197,7 @@
     )?;
     reporter.step(
         "refuse early",
-        "1,000 tasks within 300 ms cannot be done: refused at once, with when to come back",
+        "1,000 tasks within 300 ms cannot be done, now or later: refused at once",
         answer.body,
     );
     Ok(())
--- a/crates/mastknot_core/src/dispatch/fair_queue.rs
+++ b/crates/mastknot_core/src/dispatch/fair_queue.rs
@@ -15,6 +15,23 @@
     pub since: Moment,
 }
 
+/// A submission whose tasks are to wait.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct NewWork {
+    /// Its team.
+    pub team: NodeName,
+    /// The team's customer.
+    pub customer: NodeName,
+    /// The service that runs its tasks.
+    pub service: NodeName,
+    /// Its key.
+    pub key: SubmissionKey,
+    /// How many tasks it has.
+    pub count: u16,
+    /// Its deadline.
+    pub deadline: Moment,
+}
+
 #[derive(Clone, Debug)]
 struct QueuedSubmission {
     service: NodeName,
@@ -122,15 +139,20 @@
 /// # Examples
 ///
 /// ```
-/// use mastknot_core::dispatch::{FairQueue, JobOrder};
+/// use mastknot_core::dispatch::{FairQueue, JobOrder, NewWork};
 /// use mastknot_core::types::{Moment, SubmissionKey, WallTime};
 ///
 /// let mut queue = FairQueue::new(JobOrder::FirstCome);
-/// let key = |n| SubmissionKey::new(WallTime::from_millis(1), n);
-/// let now = Moment::default();
-/// let far = Moment::from_millis(9);
-/// queue.push(now, "large".into(), "c".into(), "orders".into(), key(1), 100, far);
-/// queue.push(now, "small".into(), "c".into(), "orders".into(), key(2), 1, far);
+/// let work = |team: &str, random, count| NewWork {
+///     team: team.into(),
+///     customer: "customer".into(),
+///     service: "orders".into(),
+///     key: SubmissionKey::new(WallTime::from_millis(1), random),
+///     count,
+///     deadline: Moment::from_millis(9),
+/// };
+/// queue.push(Moment::default(), work("large", 1, 100));
+/// queue.push(Moment::default(), work("small", 2, 1));
 /// let first = queue.pop(50, |_| true).unwrap();
 /// let second = queue.pop(50, |_| true).unwrap();
 /// assert_ne!(first.task.key, second.task.key, "the small team does not wait for the large one");
@@ -217,17 +239,15 @@
     }
 
     /// Adds the tasks `0..count` of a submission.
-    #[allow(clippy::too_many_arguments)]
-    pub fn push(
-        &mut self,
-        now: Moment,
-        team: NodeName,
-        customer: NodeName,
-        service: NodeName,
-        key: SubmissionKey,
-        count: u16,
-        deadline: Moment,
-    ) {
+    pub fn push(&mut self, now: Moment, work: NewWork) {
+        let NewWork {
+            team,
+            customer,
+            service,
+            key,
+            count,
+            deadline,
+        } = work;
         self.arrivals += 1;
         let order = match self.job_order {
             JobOrder::ShortestRemaining => u64::from(count),
--- a/crates/mastknot_core/src/dispatch/mod.rs
+++ b/crates/mastknot_core/src/dispatch/mod.rs
@@ -23,7 +23,7 @@
 pub use dispatch_counters::DispatchCounters;
 pub use dispatch_effect::{DispatchEffect, Verdict};
 pub use dispatcher::{Dispatcher, SideStatus};
-pub use fair_queue::{FairQueue, QueuedTask};
+pub use fair_queue::{FairQueue, NewWork, QueuedTask};
 pub use job_order::JobOrder;
 pub use retry_budget::RetryBudget;
 pub use service_estimate::ServiceEstimate;
--- a/crates/mastknot_core/src/dispatch/submissions.rs
+++ b/crates/mastknot_core/src/dispatch/submissions.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use super::active_submission::ActiveSubmission;
-use super::{DispatchEffect, Dispatcher, ServiceEstimate};
+use super::{DispatchEffect, Dispatcher, NewWork, ServiceEstimate};
 use crate::config::Service;
 use crate::decision::{Decision, Rule};
 use crate::message::{FailReason, Refusal, RefusalReason, Submission, SubmissionKind};
@@ -54,15 +54,15 @@
         self.estimates
             .entry(submission.service.clone())
             .or_insert_with(|| ServiceEstimate::new(definition.typical()));
-        self.queue.push(
-            now,
-            submission.team.clone(),
-            submission.customer.clone(),
-            submission.service.clone(),
+        let work = NewWork {
+            team: submission.team.clone(),
+            customer: submission.customer.clone(),
+            service: submission.service.clone(),
             key,
             count,
             deadline,
-        );
+        };
+        self.queue.push(now, work);
         self.deadlines.insert((deadline, key));
         self.counters.tasks_queued += u64::from(count);
         let active = ActiveSubmission {
@@ -144,6 +144,11 @@
             if is_busy && self.queue.is_over_limit(&submission.team) {
                 return later(RefusalReason::OverQuota);
             }
+            // Coming back is of no use if even an idle system could not do it in time.
+            let slots = self.pool.slots(&submission.service).max(1);
+            if run * count.div_ceil(slots) > deadline {
+                return Err(Refusal::not_run(RefusalReason::DeadlineTooClose));
+            }
             return later(RefusalReason::DeadlineTooClose);
         }
         Ok(())
--- a/crates/mastknot_virtual/tests/overload.rs
+++ b/crates/mastknot_virtual/tests/overload.rs
@@ -132,3 +132,19 @@
     );
     assert_kept(&system);
 }
+
+/// A job that no idle system could do in time was told to come back later.
+#[test]
+fn a_job_that_can_never_be_done_in_time_is_not_told_to_come_back() {
+    let mut system = system(1, 2, 4, 4);
+    let key = system.new_key();
+    let mut asked = common::job(key, 800, 100);
+    asked.deadline_ms = 1_000;
+    let request = system.submit(0, asked);
+    system.run_for(Duration::from_secs(1));
+    let Some(Reply::Refused(refusal)) = system.reply(request) else {
+        panic!("{:?}", system.reply(request));
+    };
+    assert_eq!((refusal.ran, refusal.retry_after_ms), (Ran::NotRun, None));
+    assert_kept(&system);
+}
