feat(entry): keys issued by their holder; one error type and one settling for two

Two crates had the same error type, two benches the same wait. Change: GET /v1/keys?count=N gives new keys that this entry holds, from which nothing follows but a shorter way; they live beside callers' own keys.

--- a/crates/mastknot_core/src/roster/membership.rs
+++ b/crates/mastknot_core/src/roster/membership.rs
@@ -186,6 +186,12 @@
         }
     }
 
+    /// Whether this entry holds a key under the adopted version.
+    pub fn holds(&self, key: SubmissionKey) -> bool {
+        let holder = self.roster.as_ref().and_then(|roster| roster.holder(key));
+        holder.is_some_and(|holder| holder.id == self.me.id)
+    }
+
     /// Whether this entry can vouch that it never accepts a key under a version below `version`.
     pub fn has_adopted(&self, version: u64) -> bool {
         self.version() >= version
--- a/crates/mastknot_entry/src/actor/entry_actor.rs
+++ b/crates/mastknot_entry/src/actor/entry_actor.rs
@@ -10,7 +10,7 @@
 use mastknot_core::entry::{EntryCore, EntryEffect, EntryEvent, RequestId};
 use mastknot_core::message::{EntryMessage, PeerMessage, Reply};
 use mastknot_core::roster::{MemberId, Roster};
-use mastknot_core::types::{Incarnation, NodeName, WallTime};
+use mastknot_core::types::{Incarnation, NodeName, SubmissionKey, WallTime};
 use mastknot_runtime::{Clock, StoreClient, Ticker};
 use mastknot_wire::{LinkSender, LinkStats};
 use serde_json::{Value, json};
@@ -18,12 +18,15 @@
 use tokio::task::JoinSet;
 
 use super::messages::{
-    Ask, Explain, FromPeer, FromSide, GetItem, GetLive, Input, Items, LinkDown, ListItems, Live,
-    LiveKind, PeerUp, SideUp, Submit,
+    Ask, Explain, FromPeer, FromSide, GetItem, GetLive, Input, IssueKeys, Items, LinkDown,
+    ListItems, Live, LiveKind, PeerUp, SideUp, Submit,
 };
 use crate::peers::{Hello, keep_dialing};
 use crate::platform::{read_roster, write_roster};
 
+/// Keys that are tried for each that is asked for, at most.
+const KEY_TRIES: usize = 1_000;
+
 /// What the tasks around the actor share.
 #[derive(Debug)]
 pub(crate) struct Shared {
@@ -286,6 +289,22 @@
     }
 }
 
+impl Message<IssueKeys> for EntryActor {
+    type Reply = Live;
+
+    async fn handle(&mut self, issue: IssueKeys, _: &mut Context<Self, Self::Reply>) -> Live {
+        let wall = self.shared.clock.now().wall;
+        let membership = self.core.membership();
+        // Each try hits with one in as many as there are entries; the bound is far beyond that.
+        let tries = issue.0 * KEY_TRIES;
+        let keys = std::iter::repeat_with(|| SubmissionKey::new(wall, rand::random()))
+            .take(tries)
+            .filter(|key| membership.holds(*key))
+            .take(issue.0);
+        Live(keys.map(|key| json!(key.to_string())).collect())
+    }
+}
+
 impl Message<Explain> for EntryActor {
     type Reply = Live;
 
--- a/crates/mastknot_entry/src/actor/messages.rs
+++ b/crates/mastknot_entry/src/actor/messages.rs
@@ -80,6 +80,9 @@
 #[derive(Debug, kameo::Reply)]
 pub(crate) struct Live(pub(crate) Value);
 
+/// Asks for new keys that this entry holds.
+pub(crate) struct IssueKeys(pub(crate) usize);
+
 /// Asks for all decisions about a submission.
 pub(crate) struct Explain(pub(crate) SubmissionKey);
 
--- a/crates/mastknot_entry/src/actor/mod.rs
+++ b/crates/mastknot_entry/src/actor/mod.rs
@@ -5,6 +5,6 @@
 
 pub(crate) use entry_actor::{EntryActor, EntryParts, Shared};
 pub(crate) use messages::{
-    Ask, Explain, FromPeer, FromSide, GetItem, GetLive, Input, Items, LinkDown, ListItems, Live,
-    LiveKind, PeerUp, SideUp, Submit,
+    Ask, Explain, FromPeer, FromSide, GetItem, GetLive, Input, IssueKeys, Items, LinkDown,
+    ListItems, Live, LiveKind, PeerUp, SideUp, Submit,
 };
--- a/crates/mastknot_entry/src/callers/caller_api.rs
+++ b/crates/mastknot_entry/src/callers/caller_api.rs
@@ -17,8 +17,10 @@
 
 use super::job_request::{BadRequest, Parsed, parse_job, parse_request, parse_request_as};
 use super::rendering::render;
-use crate::actor::{EntryActor, GetItem, Submit};
+use crate::actor::{EntryActor, GetItem, IssueKeys, Live, Submit};
 
+/// Keys that are issued at once, at most.
+const MAX_KEYS: usize = 1_000;
 /// How long a body may take to arrive.
 const BODY_TIME: Duration = Duration::from_secs(10);
 
@@ -54,6 +56,7 @@
             (&Method::POST, ["v1", "services", service, "requests"]) => {
                 self.submit_request(service, request).await
             }
+            (&Method::GET, ["v1", "keys"]) => self.issue_keys(&parts).await,
             (&Method::GET, ["health"]) => empty_response(StatusCode::OK),
             _ => {
                 self.bad_input.unknown_path.fetch_add(1, Ordering::Relaxed);
@@ -63,6 +66,20 @@
         }
     }
 
+    /// New keys that this entry holds: what is submitted here with one needs no second hop.
+    async fn issue_keys(&self, parts: &RequestParts) -> Response<ResponseBody> {
+        let count = parts.query("count").map_or(Ok(1), str::parse::<usize>);
+        let Some(count) = count.ok().filter(|count| (1..=MAX_KEYS).contains(count)) else {
+            self.bad_input.malformed.fetch_add(1, Ordering::Relaxed);
+            let problem = format!("`count` must be 1 to {MAX_KEYS}");
+            return error(StatusCode::BAD_REQUEST, "malformed", &problem);
+        };
+        match self.actor.ask(IssueKeys(count)).await {
+            Ok(Live(keys)) => json_response(StatusCode::OK, &json!({ "keys": keys })),
+            Err(_) => gone("not_run"),
+        }
+    }
+
     async fn submit_job(&self, request: Request<Incoming>) -> Response<ResponseBody> {
         let bytes = match self.body(request).await {
             Ok(bytes) => bytes,
--- a/crates/mastknot_entry/src/lib.rs
+++ b/crates/mastknot_entry/src/lib.rs
@@ -4,13 +4,11 @@
 
 mod actor;
 mod callers;
-mod error;
 mod node;
 mod operators;
 mod peers;
 mod platform;
 mod settings;
 
-pub use error::EntryError;
 pub use node::{EntryNode, StopReport};
 pub use settings::EntryFile;
--- a/crates/mastknot_entry/src/main.rs
+++ b/crates/mastknot_entry/src/main.rs
@@ -5,7 +5,8 @@
 
 use bpaf::{OptionParser, Parser, construct, long};
 use log::{error, info};
-use mastknot_entry::{EntryError, EntryFile, EntryNode, StopReport};
+use mastknot_entry::{EntryFile, EntryNode, StopReport};
+use mastknot_runtime::NodeError;
 use mastknot_runtime::{Signals, load_settings, start_logs};
 
 /// The exit code after a stop that cut submissions.
@@ -39,8 +40,8 @@
     )
 }
 
-async fn run(file: EntryFile) -> Result<ExitCode, EntryError> {
-    let mut signals = Signals::catch().map_err(|source| EntryError::Start {
+async fn run(file: EntryFile) -> Result<ExitCode, NodeError> {
+    let mut signals = Signals::catch().map_err(|source| NodeError::Start {
         part: "signals".to_owned(),
         source,
     })?;
--- a/crates/mastknot_entry/src/node/entry_node.rs
+++ b/crates/mastknot_entry/src/node/entry_node.rs
@@ -14,11 +14,12 @@
 
 use crate::actor::{EntryActor, EntryParts, GetLive, Input, LiveKind, Shared};
 use crate::callers::{BadInput, CallerApi};
-use crate::error::{EntryError, ListenSnafu, StartSnafu};
 use crate::operators::OperatorApi;
 use crate::peers::listen;
 use crate::platform::{feed_config, feed_vms};
 use crate::settings::EntryFile;
+use mastknot_runtime::NodeError;
+use mastknot_runtime::node_context::{ListenSnafu, StartSnafu};
 
 /// Messages that may wait for the actor.
 const MAILBOX: usize = 16_384;
@@ -54,12 +55,12 @@
     links: TcpListener,
 }
 
-async fn bind(key: &str, address: &str) -> Result<TcpListener, EntryError> {
+async fn bind(key: &str, address: &str) -> Result<TcpListener, NodeError> {
     let bound = TcpListener::bind(address).await;
     bound.context(ListenSnafu { key, address })
 }
 
-async fn bind_all(file: &EntryFile) -> Result<Listeners, EntryError> {
+async fn bind_all(file: &EntryFile) -> Result<Listeners, NodeError> {
     Ok(Listeners {
         callers: bind("callers_listen", &file.callers_listen).await?,
         operators: bind("operators_listen", &file.operators_listen).await?,
@@ -70,7 +71,7 @@
 
 impl EntryNode {
     /// Starts an entry; its settings are checked and its listeners bound before anything runs.
-    pub async fn start(file: EntryFile) -> Result<Self, EntryError> {
+    pub async fn start(file: EntryFile) -> Result<Self, NodeError> {
         file.check()?;
         let listeners = bind_all(&file).await?;
         let links_address = listeners.links.local_addr();
@@ -108,7 +109,7 @@
         links_address: SocketAddr,
         actor: ActorRef<EntryActor>,
         shared: Arc<Shared>,
-    ) -> Result<Self, EntryError> {
+    ) -> Result<Self, NodeError> {
         let bad_input: Arc<BadInput> = Arc::default();
         let caller_api = CallerApi {
             actor: actor.clone(),
--- a/crates/mastknot_harness/src/error.rs
+++ b/crates/mastknot_harness/src/error.rs
@@ -1,8 +1,7 @@
 //! What can go wrong when a system starts.
 
 use mastknot_client::ClientError;
-use mastknot_entry::EntryError;
-use mastknot_side::SideError;
+use mastknot_runtime::NodeError;
 use mastknot_standin::StandInError;
 use snafu::Snafu;
 
@@ -16,17 +15,11 @@
         /// Why.
         source: StandInError,
     },
-    /// An entry did not start.
+    /// An entry or a side did not start.
     #[snafu(display("{source}"), context(false))]
-    Entry {
+    Node {
         /// Why.
-        source: EntryError,
-    },
-    /// A side did not start.
-    #[snafu(display("{source}"), context(false))]
-    Side {
-        /// Why.
-        source: SideError,
+        source: NodeError,
     },
     /// A call to an entry failed.
     #[snafu(display("{source}"), context(false))]
--- a/crates/mastknot_load/src/bench/arms/credits.rs
+++ b/crates/mastknot_load/src/bench/arms/credits.rs
@@ -28,6 +28,7 @@
 }
 
 /// Runs a workload through entries and sides.
+#[allow(clippy::too_many_arguments)]
 pub(crate) fn run_credits(
     profile: BenchProfile,
     policy: &Profile,
@@ -36,6 +37,7 @@
     slots: u16,
     workload: &Workload,
     entries: usize,
+    issued_keys: bool,
 ) -> CreditsRun {
     let mut system = VirtualSystem::new(profile.delays(), 1);
     for index in 0..entries {
@@ -63,6 +65,9 @@
         let at = start + arrival.at;
         // The key is made when it is sent, by the caller's clock.
         submission.key = SubmissionKey::new(system.wall_at(at), u128_of(submission.key));
+        if issued_keys {
+            submission.key = held_key(&system, arrival.entry, submission.key, at);
+        }
         requests.push(system.submit_at(at, arrival.entry, submission));
     }
     system.run_for(Duration::from_micros(last) + TAIL);
@@ -97,6 +102,19 @@
     }
 }
 
+/// A key that the entry holds, as it would issue it.
+fn held_key(system: &VirtualSystem, entry: usize, first: SubmissionKey, at: u64) -> SubmissionKey {
+    let holds = |key: &SubmissionKey| {
+        let core = system.entry(entry);
+        core.is_some_and(|core| core.membership().holds(*key))
+    };
+    let random = u128_of(first);
+    (0..1_000)
+        .map(|step| SubmissionKey::new(system.wall_at(at), random.wrapping_add(step)))
+        .find(holds)
+        .unwrap_or(first)
+}
+
 fn u128_of(key: SubmissionKey) -> u128 {
     u128::from_be_bytes(key.to_bytes())
 }
--- a/crates/mastknot_load/src/bench/compare.rs
+++ b/crates/mastknot_load/src/bench/compare.rs
@@ -32,6 +32,8 @@
     pub slots: u16,
     /// The share of arrivals that the first entry gets.
     pub first_entry_share: f64,
+    /// Whether callers use keys that the entry which they call has issued.
+    pub issued_keys: bool,
     /// The largest job.
     pub max_job: u32,
     /// The deadline of submissions, in milliseconds; zero takes the usual one.
@@ -53,6 +55,7 @@
             sides: 12,
             slots: 8,
             first_entry_share: 0.5,
+            issued_keys: false,
             max_job: 1_000,
             deadline_ms: 0,
         }
@@ -128,6 +131,7 @@
         plan.slots,
         workload,
         plan.entries,
+        plan.issued_keys,
     );
     debug_assert_eq!(run.violations, 0, "a promise was broken on the bench");
     let mut report = ArmReport {
--- a/crates/mastknot_load/src/faults/bed.rs
+++ b/crates/mastknot_load/src/faults/bed.rs
@@ -5,15 +5,11 @@
 use mastknot_client::Client;
 use mastknot_standin::{StartRecord, StoreStandIn, WorkerStandIn};
 use serde_json::{Value, json};
-use tokio::time::{Instant, sleep};
+use tokio::time::sleep;
 
 use crate::error::{LoadError, WrongRegimeSnafu};
-use crate::process::{EntryProcess, SideProcess};
+use crate::process::{EntryProcess, SideProcess, settle};
 
-/// How long a system may take to settle.
-const SETTLE_LIMIT: Duration = Duration::from_secs(20);
-/// How often it is looked at meanwhile.
-const LOOK_INTERVAL: Duration = Duration::from_millis(50);
 /// The halls.
 const HALLS: [&str; 3] = ["hall-1", "hall-2", "hall-3"];
 
@@ -64,7 +60,7 @@
             )?);
             bed.workers.push(worker);
         }
-        bed.settle().await?;
+        settle(&bed.client, &bed.entries, sides).await?;
         bed.create("service", "pay", json!({ "path": "/pay" }))
             .await?;
         let look = json!({ "path": "/look", "repeatable": true });
@@ -72,28 +68,6 @@
         Ok(bed)
     }
 
-    /// Waits until every entry has all members and all sides.
-    pub(super) async fn settle(&self) -> Result<(), LoadError> {
-        let deadline = Instant::now() + SETTLE_LIMIT;
-        for entry in &self.entries {
-            loop {
-                let roster = self.client.get(entry.operators, "/v1/live/entries").await;
-                let targets = self.client.get(entry.operators, "/v1/live/targets").await;
-                let members = roster.map_or(0, |r| count(&r.body["entries"]));
-                let joined = targets.map_or(0, |t| count(&t.body));
-                if members == self.entries.len() && joined >= self.sides.len() {
-                    break;
-                }
-                if Instant::now() > deadline {
-                    let what = format!("{members} members, {joined} sides");
-                    return WrongRegimeSnafu { what }.fail();
-                }
-                sleep(LOOK_INTERVAL).await;
-            }
-        }
-        Ok(())
-    }
-
     pub(super) async fn create(
         &self,
         kind: &str,
@@ -125,7 +99,3 @@
         self.entries.iter().map(|entry| entry.callers).collect()
     }
 }
-
-fn count(list: &Value) -> usize {
-    list.as_array().map_or(0, Vec::len)
-}
--- a/crates/mastknot_load/src/main.rs
+++ b/crates/mastknot_load/src/main.rs
@@ -126,10 +126,13 @@
         .argument::<String>("JSON")
         .parse(|text| serde_json::from_str::<Profile>(&text))
         .optional();
+    let issued = long("issued-keys")
+        .help("Callers use keys issued by the entry that they call")
+        .switch();
     let json = long("json").help("Print one JSON object a run").switch();
     construct!(
         profile, weights, arms, seeds, load, seconds, entries, sides, slots, share, max_job,
-        deadline, json
+        deadline, issued, json
     )
     .map(
         |(
@@ -145,6 +148,7 @@
             share,
             max_job,
             deadline,
+            issued,
             json,
         )| {
             let plan = ComparePlan {
@@ -159,6 +163,7 @@
                 first_entry_share: share,
                 max_job,
                 deadline_ms: deadline,
+                issued_keys: issued,
                 ..ComparePlan::new(profile)
             };
             Command::Compare { plan, json }
--- a/crates/mastknot_load/src/slopes/bed.rs
+++ b/crates/mastknot_load/src/slopes/bed.rs
@@ -10,7 +10,7 @@
 use tokio::time::{Instant, sleep};
 
 use crate::error::{LoadError, WrongRegimeSnafu};
-use crate::process::{EntryProcess, Usage, free_address};
+use crate::process::{EntryProcess, Usage, free_address, settle};
 
 /// How long a bed may take to settle.
 const SETTLE_LIMIT: Duration = Duration::from_secs(30);
@@ -99,25 +99,7 @@
 
     /// Waits until every entry has all members and all sides.
     pub(super) async fn settle(&self, sides: usize) -> Result<(), LoadError> {
-        let deadline = Instant::now() + SETTLE_LIMIT;
-        for entry in &self.entries {
-            loop {
-                let roster = self.client.get(entry.operators, "/v1/live/entries").await;
-                let targets = self.client.get(entry.operators, "/v1/live/targets").await;
-                let members =
-                    roster.map_or(0, |r| r.body["entries"].as_array().map_or(0, Vec::len));
-                let joined = targets.map_or(0, |t| t.body.as_array().map_or(0, Vec::len));
-                if members == self.entries.len() && joined >= sides {
-                    break;
-                }
-                if Instant::now() > deadline {
-                    let what = format!("{members} members, {joined} sides");
-                    return WrongRegimeSnafu { what }.fail();
-                }
-                sleep(LOOK_INTERVAL).await;
-            }
-        }
-        Ok(())
+        settle(&self.client, &self.entries, sides).await
     }
 
     pub(super) async fn create(
--- a/crates/mastknot_side/src/error/side_error.rs
+++ b/crates/mastknot_runtime/src/error/node_error.rs
@@ -1,10 +1,10 @@
-use mastknot_runtime::SettingsError;
+use crate::SettingsError;
 use snafu::Snafu;
 
-/// Why a side did not start.
+/// Why an entry or a side did not start.
 #[derive(Debug, Snafu)]
-#[snafu(visibility(pub(crate)))]
-pub enum SideError {
+#[snafu(visibility(pub))]
+pub enum NodeError {
     /// The settings are not allowed.
     #[snafu(display("{source}"), context(false))]
     Settings {
--- a/crates/mastknot_runtime/src/lib.rs
+++ b/crates/mastknot_runtime/src/lib.rs
@@ -3,6 +3,7 @@
 //! This crate has no feature flags.
 
 mod clock;
+mod error;
 mod http;
 mod logs;
 mod metrics;
@@ -12,6 +13,7 @@
 mod ticker;
 
 pub use clock::Clock;
+pub use error::{NodeError, node_context};
 pub use http::{
     BodyError, HttpServer, ResponseBody, empty_response, json_response, plain_client, read_body,
     stream_response,
--- a/crates/mastknot_side/src/lib.rs
+++ b/crates/mastknot_side/src/lib.rs
@@ -3,11 +3,9 @@
 //! This crate has no feature flags.
 
 mod actor;
-mod error;
 mod node;
 mod settings;
 mod target;
 
-pub use error::SideError;
 pub use node::{SideNode, StopReport};
 pub use settings::SideFile;
--- a/crates/mastknot_side/src/main.rs
+++ b/crates/mastknot_side/src/main.rs
@@ -5,8 +5,9 @@
 
 use bpaf::{OptionParser, Parser, construct, long};
 use log::{error, info};
+use mastknot_runtime::NodeError;
 use mastknot_runtime::{Signals, load_settings, start_logs};
-use mastknot_side::{SideError, SideFile, SideNode, StopReport};
+use mastknot_side::{SideFile, SideNode, StopReport};
 
 /// The exit code after a stop that cut tasks.
 const EXIT_CUT: u8 = 3;
@@ -37,8 +38,8 @@
     .footer("Exit codes: 0 stopped by plan, 1 did not start, 2 bad settings, 3 tasks were cut")
 }
 
-async fn run(file: SideFile) -> Result<ExitCode, SideError> {
-    let mut signals = Signals::catch().map_err(|source| SideError::Start {
+async fn run(file: SideFile) -> Result<ExitCode, NodeError> {
+    let mut signals = Signals::catch().map_err(|source| NodeError::Start {
         part: "signals".to_owned(),
         source,
     })?;
--- a/crates/mastknot_side/src/node/side_node.rs
+++ b/crates/mastknot_side/src/node/side_node.rs
@@ -18,9 +18,10 @@
 use tokio::task::JoinHandle;
 
 use crate::actor::{GetReport, Input, SideActor, SideParts};
-use crate::error::{ListenSnafu, SideError, StartSnafu};
 use crate::settings::SideFile;
 use crate::target::TargetClient;
+use mastknot_runtime::NodeError;
+use mastknot_runtime::node_context::{ListenSnafu, StartSnafu};
 
 /// Messages that may wait for the actor.
 const MAILBOX: usize = 4_096;
@@ -48,7 +49,7 @@
 
 impl SideNode {
     /// Starts a side; its settings are checked before anything is bound.
-    pub async fn start(file: SideFile) -> Result<Self, SideError> {
+    pub async fn start(file: SideFile) -> Result<Self, NodeError> {
         file.check()?;
         let target = mastknot_runtime::check_address("target", &file.target)?;
         let mut entries = Vec::new();
@@ -158,7 +159,7 @@
     file: &SideFile,
     actor: ActorRef<SideActor>,
     stats: Arc<LinkStats>,
-) -> Result<JoinHandle<()>, SideError> {
+) -> Result<JoinHandle<()>, NodeError> {
     let address = match &file.statsd {
         Some(statsd) => Some(mastknot_runtime::check_address("statsd", statsd)?),
         None => None,
