fix(dispatch): an entry without any credit always asks its peers

Cause: an entry asks peers only if its own credits would take longer than ask_interval_ms; with nothing running it took one task's time for that, so with tasks of under 5 ms it never asked, and starved beside a busy peer. Change: with nothing running the wait counts as endless. The named test fails without the change and passes with it. Ruled out: pauses of sides (none was paused), lapsed credits (none had), the rate of asking (3 questions in all).

--- a/crates/mastknot_core/src/dispatch/asking.rs
+++ b/crates/mastknot_core/src/dispatch/asking.rs
@@ -91,7 +91,8 @@
     pub(super) fn own_wait(&self, tasks: u32) -> Duration {
         let mean = Duration::from_micros(self.mean_cost_micros());
         if self.running == 0 {
-            return mean;
+            // Nothing that runs here will bring a credit back.
+            return Duration::MAX;
         }
         mean * tasks / self.running
     }
--- a/crates/mastknot_harness/tests/issued_keys.rs
+++ b/crates/mastknot_harness/tests/issued_keys.rs
@@ -8,7 +8,11 @@
 async fn a_job_with_an_issued_key_is_not_forwarded() {
     let harness = harness().await;
     for (index, callers) in harness.callers().into_iter().enumerate() {
-        let issued = harness.client.get(callers, "/v1/keys?count=5").await.unwrap();
+        let issued = harness
+            .client
+            .get(callers, "/v1/keys?count=5")
+            .await
+            .unwrap();
         let keys = issued.body["keys"].as_array().unwrap().clone();
         assert_eq!(keys.len(), 5);
         for key in keys {
--- a/crates/mastknot_virtual/tests/overload.rs
+++ b/crates/mastknot_virtual/tests/overload.rs
@@ -148,3 +148,31 @@
     assert_eq!((refusal.ran, refusal.retry_after_ms), (Ran::NotRun, None));
     assert_kept(&system);
 }
+
+/// An entry without a credit did not ask for one if tasks are so short that a free slot is soon
+/// there, somewhere else: it starved beside a busy peer, for as long as that was busy.
+#[test]
+fn an_entry_without_credits_is_not_starved_by_a_busy_peer() {
+    let mut system = system(2, 2, 4, 5);
+    system.write_resource("service", "pay", r#"{"path":"/pay","typical_ms":1}"#);
+    system.run_for(SETTLE);
+    // Entry 0 takes every slot first and keeps it.
+    for _ in 0..10 {
+        let key = common::key_held_by(&mut system, 0);
+        system.submit(0, common::job(key, 1_000, 1));
+    }
+    system.run_for(Duration::from_millis(100));
+    let mut requests = Vec::new();
+    for _ in 0..3 {
+        let key = common::key_held_by(&mut system, 1);
+        requests.push(system.submit(1, common::job(key, 1_000, 1)));
+    }
+    system.run_for(Duration::from_secs(1));
+    let running = |entry| system.entry(entry).unwrap().dispatcher().running();
+    assert!(running(0) > 0, "entry 0 is still busy");
+    assert!(
+        running(1) > 0,
+        "entry 1 has no slot while entry 0 has them all"
+    );
+    assert_kept(&system);
+}
