fix(load): the fault audit checks a "not run" when it comes, and outlasts a paused process

A caller's last answer was kept over a later try that met a paused process, and was held against starts of that later try; and a caller gave up after 12 s while the process it asked last was still paused. Change: each reply of "not run" is checked against the workers' record when it comes; a try without an answer clears the one before; a caller left without an answer goes on for 45 s.

--- a/crates/mastknot_load/src/faults/audit.rs
+++ b/crates/mastknot_load/src/faults/audit.rs
@@ -17,6 +17,8 @@
     pub(super) millis: u64,
     pub(super) sent_at_ms: u64,
     pub(super) is_past_deadline: bool,
+    /// Replies of "not run" that came when a task of the submission had been started.
+    pub(super) false_not_run: u64,
 }
 
 impl Told {
@@ -25,12 +27,6 @@
         body.and_then(|body| body["state"].as_str())
             .unwrap_or("broken")
     }
-
-    fn is_not_run(&self) -> bool {
-        self.body
-            .as_ref()
-            .is_some_and(|body| body["ran"] == "not_run")
-    }
 }
 
 /// The promises, counted; every number is to be zero.
@@ -42,7 +38,7 @@
     pub partial_answers: u64,
     /// Answers that hold another caller's value.
     pub foreign_answers: u64,
-    /// Submissions called "not run" of which a task was started.
+    /// Replies of "not run" to a submission of which a task had been started by then.
     pub false_not_run: u64,
     /// Callers without a final answer past their deadline.
     pub unanswered: u64,
@@ -70,9 +66,6 @@
             if *count > 1 && !told.is_repeatable {
                 audit.started_twice += 1;
             }
-            if told.is_not_run() {
-                audit.false_not_run += 1;
-            }
         }
         for one in told {
             audit.check_answer(one);
@@ -82,6 +75,7 @@
 
     fn check_answer(&mut self, told: &Told) {
         self.unanswered += u64::from(told.is_past_deadline);
+        self.false_not_run += told.false_not_run;
         if told.state() != "complete" {
             return;
         }
--- a/crates/mastknot_load/src/faults/bed.rs
+++ b/crates/mastknot_load/src/faults/bed.rs
@@ -1,5 +1,6 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::sync::Arc;
 use std::time::Duration;
 
 use mastknot_client::Client;
@@ -16,7 +17,7 @@
 /// Entries and sides as processes, stand-ins inside this tool.
 pub(super) struct FaultBed {
     pub(super) store: StoreStandIn,
-    pub(super) workers: Vec<WorkerStandIn>,
+    pub(super) workers: Arc<Vec<WorkerStandIn>>,
     pub(super) entries: Vec<EntryProcess>,
     pub(super) sides: Vec<SideProcess>,
     pub(super) client: Client,
@@ -34,7 +35,7 @@
             std::env::temp_dir().join(format!("mastknot-faults-{}", std::process::id()));
         let mut bed = Self {
             store: StoreStandIn::start("127.0.0.1:0").await.map_err(stand_in)?,
-            workers: Vec::new(),
+            workers: Arc::default(),
             entries: Vec::new(),
             sides: Vec::new(),
             client: Client::new(Duration::from_secs(20)),
@@ -48,6 +49,7 @@
                 .push(EntryProcess::start(&root, &name, hall, store, &peers)?);
         }
         let links: Vec<SocketAddr> = bed.entries.iter().map(|entry| entry.links).collect();
+        let mut workers = Vec::new();
         for index in 0..sides {
             let worker = WorkerStandIn::start("127.0.0.1:0")
                 .await
@@ -58,8 +60,9 @@
             bed.sides.push(SideProcess::start(
                 &root, &name, hall, slots, target, &links,
             )?);
-            bed.workers.push(worker);
+            workers.push(worker);
         }
+        bed.workers = Arc::new(workers);
         settle(&bed.client, &bed.entries, sides).await?;
         bed.create("service", "pay", json!({ "path": "/pay" }))
             .await?;
@@ -89,7 +92,7 @@
     /// The true starts of all workers.
     pub(super) fn starts(&self) -> StartRecord {
         let mut all = StartRecord::default();
-        for worker in &self.workers {
+        for worker in self.workers.iter() {
             all.merge(&worker.record());
         }
         all
--- a/crates/mastknot_load/src/faults/callers.rs
+++ b/crates/mastknot_load/src/faults/callers.rs
@@ -1,9 +1,11 @@
 //! Callers that submit, and submit the same again until they have a final answer.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use mastknot_client::Client;
+use mastknot_standin::WorkerStandIn;
 use serde_json::{Value, json};
 use tokio::time::{Instant, sleep};
 
@@ -18,11 +20,14 @@
 const PAUSE: Duration = Duration::from_millis(300);
 /// How long a caller goes on submitting before it gives up on a final answer.
 const PERSISTENCE: Duration = Duration::from_secs(12);
+/// How long one goes on that was left without an answer by the last process that it asked.
+const LONGEST_PERSISTENCE: Duration = Duration::from_secs(45);
 
 /// One caller: every third sends a job, a payment, or a request that may be repeated.
 pub(super) async fn call(
     client: Client,
     entries: Vec<SocketAddr>,
+    workers: Arc<Vec<WorkerStandIn>>,
     number: usize,
     began: Instant,
 ) -> Told {
@@ -45,9 +50,13 @@
         millis: 0,
         sent_at_ms,
         is_past_deadline: false,
+        false_not_run: 0,
     };
     let mut attempt = number;
-    while started.elapsed() < PERSISTENCE {
+    // One that has met a paused process goes on until a process that runs has answered.
+    while started.elapsed() < PERSISTENCE
+        || (told.is_past_deadline && started.elapsed() < LONGEST_PERSISTENCE)
+    {
         let entry = entries[attempt % entries.len()];
         attempt += 1;
         let posted = client.post(entry, path, &body);
@@ -56,10 +65,15 @@
             // The connection stands and nothing came: this is what must not happen, unless the
             // process at its other end is paused.
             told.is_past_deadline = true;
+            told.body = None;
             continue;
         };
         told.is_past_deadline = false;
         told.body = answered.ok().map(|answer| answer.body);
+        let is_not_run = told.body.as_ref().is_some_and(|b| b["ran"] == "not_run");
+        if is_not_run && has_started(&workers, &told.key) {
+            told.false_not_run += 1;
+        }
         if is_final(&told) {
             break;
         }
@@ -73,6 +87,13 @@
     told
 }
 
+/// Whether any task of a submission has truly been started by now.
+fn has_started(workers: &[WorkerStandIn], key: &str) -> bool {
+    let records = workers.iter().map(WorkerStandIn::record);
+    let mut tasks = records.flat_map(|record| record.starts.into_keys());
+    tasks.any(|task| task.starts_with(key))
+}
+
 /// Complete and failed are final; a refusal or a broken connection is not.
 fn is_final(told: &Told) -> bool {
     matches!(told.state(), "complete" | "failed")
--- a/crates/mastknot_load/src/faults/run.rs
+++ b/crates/mastknot_load/src/faults/run.rs
@@ -1,4 +1,5 @@
 use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 use mastknot_standin::StoreFaults;
@@ -114,8 +115,9 @@
             ticks.tick().await;
             let client = self.bed.client.clone();
             let entries = self.bed.callers();
-            self.calls
-                .spawn(call(client, entries, self.sent, self.began));
+            let workers = Arc::clone(&self.bed.workers);
+            let called = call(client, entries, workers, self.sent, self.began);
+            self.calls.spawn(called);
             self.sent += 1;
         }
         self.watch_versions().await;
