--- a/crates/mastknot_cli/src/demo/steps.rs
+++ b/crates/mastknot_cli/src/demo/steps.rs
@@ -280,7 +280,7 @@
         "the other entry took its keys over",
         json!({
             "taken over after ms": started.elapsed().as_millis() as u64,
-            "refused meanwhile (not run)": refusals,
+            "refused meanwhile": refusals,
         }),
     );
     Ok(())
