refactor: one way to list open requests, one option for profile and seeds

Cause: the last read found the same five lines four times in callers.rs (filter, collect, sort the numbers of open requests) and two options written twice in the load tool's command line. Change: sorted() in callers.rs; profile_option and seeds_option. No behaviour changes and no check was touched.

--- a/crates/mastknot_core/src/entry/callers.rs
+++ b/crates/mastknot_core/src/entry/callers.rs
@@ -326,14 +326,8 @@
 
     /// What was forwarded to a lost peer may have run there.
     pub(super) fn fail_forwards(&mut self, peer: &NodeName, out: &mut Vec<EntryEffect>) {
-        let mut lost: Vec<u64> = self
-            .forwards
-            .iter()
-            .filter(|(_, forwarded)| forwarded.peer == *peer)
-            .map(|(request, _)| *request)
-            .collect();
-        lost.sort_unstable();
-        for request in lost {
+        let forwards = self.forwards.iter();
+        for request in sorted(forwards.filter(|(_, forwarded)| forwarded.peer == *peer)) {
             let Some(forwarded) = self.forwards.remove(&request) else {
                 continue;
             };
@@ -349,27 +343,16 @@
 
     /// Tells callers whose holder has said nothing for too long that the outcome is unknown.
     pub(super) fn give_up_late(&mut self, now: Now, out: &mut Vec<EntryEffect>) {
-        let mut late: Vec<u64> = self
-            .forwards
-            .iter()
-            .filter(|(_, forwarded)| forwarded.until <= now.monotonic)
-            .map(|(request, _)| *request)
-            .collect();
-        late.sort_unstable();
-        for request in late {
+        let is_late = |until: Moment| until <= now.monotonic;
+        let forwards = self.forwards.iter();
+        for request in sorted(forwards.filter(|(_, forwarded)| is_late(forwarded.until))) {
             if let Some(forwarded) = self.forwards.remove(&request) {
                 let refusal = Refusal::unknown(RefusalReason::HolderLost);
                 self.refuse(&forwarded.waiter, refusal, out);
             }
         }
-        let mut unanswered: Vec<u64> = self
-            .questions
-            .iter()
-            .filter(|(_, question)| question.until <= now.monotonic)
-            .map(|(request, _)| *request)
-            .collect();
-        unanswered.sort_unstable();
-        for request in unanswered {
+        let questions = self.questions.iter();
+        for request in sorted(questions.filter(|(_, question)| is_late(question.until))) {
             if let Some(question) = self.questions.remove(&request) {
                 let refusal = Refusal::unknown(RefusalReason::OutcomeUnknown);
                 let refusal = refusal.retry_after_ms(ROSTER_RETRY_AFTER_MS);
@@ -473,14 +456,8 @@
         which: impl Fn(&Question) -> bool,
         out: &mut Vec<EntryEffect>,
     ) {
-        let mut requests: Vec<u64> = self
-            .questions
-            .iter()
-            .filter(|(_, question)| which(question))
-            .map(|(request, _)| *request)
-            .collect();
-        requests.sort_unstable();
-        for request in requests {
+        let questions = self.questions.iter();
+        for request in sorted(questions.filter(|(_, question)| which(question))) {
             if let Some(question) = self.questions.remove(&request) {
                 self.submit(
                     now,
@@ -540,3 +517,10 @@
             .is_none_or(|roster| roster.members.len() <= 1)
     }
 }
+
+/// The numbers of open requests in order: a map's own order differs from run to run.
+fn sorted<'a, T: 'a>(open: impl Iterator<Item = (&'a u64, &'a T)>) -> Vec<u64> {
+    let mut requests: Vec<u64> = open.map(|(request, _)| *request).collect();
+    requests.sort_unstable();
+    requests
+}
--- a/crates/mastknot_load/src/main.rs
+++ b/crates/mastknot_load/src/main.rs
@@ -94,21 +94,29 @@
         .map_err(|e| e.to_string())
 }
 
-fn compare_options() -> impl Parser<Command> {
-    let profile = long("profile")
+fn profile_option() -> impl Parser<BenchProfile> {
+    long("profile")
         .help("kalahari or co-op [kalahari]")
         .argument::<BenchProfile>("NAME")
-        .fallback(BenchProfile::Kalahari);
+        .fallback(BenchProfile::Kalahari)
+}
+
+fn seeds_option() -> impl Parser<Vec<u64>> {
+    long("seeds")
+        .help("Seeds of the arrivals [1,2,3,4,5]")
+        .argument::<String>("LIST")
+        .parse(|text| list::<u64>(&text))
+        .fallback(vec![1, 2, 3, 4, 5])
+}
+
+fn compare_options() -> impl Parser<Command> {
+    let profile = profile_option();
     let arms = long("policies")
         .help("credits, random, least-reported, two-probes, omniscient [all]")
         .argument::<String>("LIST")
         .parse(|text| list::<Arm>(&text))
         .fallback(ALL_ARMS.to_vec());
-    let seeds = long("seeds")
-        .help("Seeds of the arrivals [1,2,3,4,5]")
-        .argument::<String>("LIST")
-        .parse(|text| list::<u64>(&text))
-        .fallback(vec![1, 2, 3, 4, 5]);
+    let seeds = seeds_option();
     let load = number("load", "Load as a share of the slots [0.75]", 0.75);
     let seconds = number("seconds", "How long arrivals come [120]", 120);
     let entries = number("entries", "Entries [2]", 2);
@@ -189,15 +197,8 @@
 }
 
 fn curve() -> impl Parser<Command> {
-    let profile = long("profile")
-        .help("kalahari or co-op [kalahari]")
-        .argument::<BenchProfile>("NAME")
-        .fallback(BenchProfile::Kalahari);
-    let seeds = long("seeds")
-        .help("Seeds of the arrivals [1,2,3,4,5]")
-        .argument::<String>("LIST")
-        .parse(|text| list::<u64>(&text))
-        .fallback(vec![1, 2, 3, 4, 5]);
+    let profile = profile_option();
+    let seeds = seeds_option();
     let out = long("out")
         .help("File to draw (SVG)")
         .argument::<PathBuf>("FILE");
