--- /dev/null
+++ b/crates/mastknot_core/src/agent/agent_decision.rs
@@ -0,0 +1,83 @@
+use crate::job::{EndOfRun, NotRunCause, RunId, TargetCondition, TargetId};
+use crate::types::NodeName;
+
+/// Why a side ended an entry's lease.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LeaseEndCause {
+    /// Nothing newer was heard for the whole lease.
+    Silence,
+    /// The entry has started anew.
+    Restarted,
+}
+
+/// One decision of a side, for the logs.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum AgentDecision {
+    /// An order was turned away.
+    TurnedAway {
+        /// The run.
+        run: RunId,
+        /// Why.
+        cause: NotRunCause,
+        /// The free processor, in thousandths of a core.
+        free_cpu_millis: u32,
+    },
+    /// A run ended.
+    RunEnded {
+        /// The run.
+        run: RunId,
+        /// How.
+        end: EndOfRun,
+        /// How long it ran, in milliseconds.
+        ran_ms: u32,
+    },
+    /// A run is stopped.
+    Stopping {
+        /// The run.
+        run: RunId,
+        /// What its end will be called.
+        end: EndOfRun,
+        /// Its progress in percent.
+        percent: u8,
+    },
+    /// An order got no answer.
+    Unconfirmed {
+        /// The run.
+        run: RunId,
+    },
+    /// An entry's lease ended.
+    LeaseEnded {
+        /// The entry.
+        entry: NodeName,
+        /// Why.
+        cause: LeaseEndCause,
+        /// The age of the last confirmed report, in milliseconds.
+        age_ms: u64,
+        /// The runs that are stopped.
+        runs: usize,
+    },
+    /// An entry's link stands and its runs are settled.
+    EntryJoined {
+        /// The entry.
+        entry: NodeName,
+    },
+    /// The target's condition changed.
+    Condition {
+        /// The target, if one is known.
+        target: Option<TargetId>,
+        /// Its condition.
+        condition: TargetCondition,
+    },
+    /// A new fencing token is in use.
+    Token {
+        /// The token.
+        token: u64,
+        /// Runs of an earlier life that were found.
+        survivors: usize,
+    },
+    /// A look failed.
+    LookFailed {
+        /// How many in a row.
+        in_a_row: u32,
+    },
+}
--- /dev/null
+++ b/crates/mastknot_core/src/agent/mod.rs
@@ -0,0 +1,33 @@
+//! The core of a side that runs sized tasks on its target under leases.
+//!
+//! - [`TargetAgent`]: `step(now, event) -> effects`
+//! - [`RunTable`]: the runs that take room
+//! - [`TargetHealth`]: how a target's recent ends change what it is given
+
+mod agent_decision;
+mod agent_effect;
+mod agent_event;
+mod agent_settings;
+mod orders;
+mod owners;
+mod reporting;
+mod run_table;
+mod target_agent;
+mod target_health;
+mod target_link;
+mod views;
+
+pub use agent_decision::{AgentDecision, LeaseEndCause};
+pub use agent_effect::AgentEffect;
+pub use agent_event::{
+    AgentEvent, HowEnded, LookFailure, OrderOutcome, OrderRefusal, TargetFinished, TargetRunning,
+    TargetView,
+};
+pub use agent_settings::AgentSettings;
+pub use run_table::{Run, RunPhase, RunTable};
+pub use target_agent::TargetAgent;
+pub use target_health::TargetHealth;
+
+/// One link between a side and an entry, unique within its process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct SessionId(pub u64);
--- /dev/null
+++ b/crates/mastknot_core/src/agent/orders.rs
@@ -0,0 +1,354 @@
+//! What entries and the target's answers to orders change.
+
+use super::owners::{Owner, OwnerKey};
+use super::target_agent::TargetAgent;
+use super::{
+    AgentDecision, AgentEffect, LeaseEndCause, OrderOutcome, OrderRefusal, Run, RunPhase, SessionId,
+};
+use crate::job::{
+    AdoptedRun, EndOfRun, EndedRun, EntryOrder, EntryWelcome, NotRunCause, RunId, SideReport,
+    StartOrder, TargetCondition,
+};
+use crate::types::Moment;
+
+impl TargetAgent {
+    pub(super) fn handle_order(&mut self, now: Moment, session: SessionId, order: EntryOrder) {
+        if let EntryOrder::Welcome(welcome) = order {
+            self.welcome(now, session, welcome);
+            return;
+        }
+        let Some(key) = self.sessions.get(&session).cloned() else {
+            return;
+        };
+        match order {
+            EntryOrder::Welcome(_) => {}
+            EntryOrder::Adopt(runs) => self.adopt(now, &key, runs),
+            EntryOrder::Start(start) => self.start(now, &key, start),
+            EntryOrder::Stop(run) => self.stop_for(now, &key, run),
+            EntryOrder::Heartbeat { heard, has_waiting } => {
+                if let Some(owner) = self.owners.get_mut(&key) {
+                    owner.note_heard(heard);
+                    owner.has_waiting = has_waiting;
+                }
+            }
+            EntryOrder::Entries(entries) => self.learn_entries(entries),
+            EntryOrder::Document(document) => self.learn_document(Some(document)),
+        }
+    }
+
+    fn welcome(&mut self, now: Moment, session: SessionId, welcome: EntryWelcome) {
+        let Some(greeting) = self.greetings.swap_remove(&session) else {
+            return;
+        };
+        let key = OwnerKey {
+            entry: welcome.entry,
+            incarnation: welcome.incarnation,
+        };
+        self.end_other_lives(now, &key);
+        self.learn_entries(welcome.entries);
+        self.learn_document(welcome.document);
+        if self.link.profile.is_none() && self.link.token.is_some() {
+            self.link.profile = welcome.remembered_target;
+        }
+        let owner = Owner::new(greeting.hello_sent);
+        let owner = self.owners.entry(key.clone()).or_insert(owner);
+        let replaced = owner.session.take();
+        owner.take_session(session);
+        self.sessions.insert(session, key);
+        if let Some(replaced) = replaced {
+            self.sessions.swap_remove(&replaced);
+            self.effects.push(AgentEffect::Close { session: replaced });
+        }
+    }
+
+    /// Everything of the entry's earlier lives is over: their jobs died with them.
+    fn end_other_lives(&mut self, now: Moment, key: &OwnerKey) {
+        let is_other =
+            |other: &&OwnerKey| other.entry == key.entry && other.incarnation != key.incarnation;
+        let others: Vec<OwnerKey> = self.owners.keys().filter(is_other).cloned().collect();
+        for other in others {
+            self.end_lease(now, &other, LeaseEndCause::Restarted);
+        }
+    }
+
+    /// Says on each new link what goes on, as soon as that is known.
+    pub(super) fn resume_links(&mut self, _now: Moment) {
+        if !self.link.is_settled {
+            return;
+        }
+        let waiting = self.owners.iter().filter(|(_, owner)| !owner.is_resumed);
+        let waiting: Vec<OwnerKey> = waiting
+            .filter(|(_, owner)| owner.session.is_some())
+            .map(|(key, _)| key.clone())
+            .collect();
+        for key in waiting {
+            self.resume(&key);
+        }
+    }
+
+    fn resume(&mut self, key: &OwnerKey) {
+        let mut running = self.runs.of_owner(key);
+        running.extend(self.survivors.keys().copied());
+        let orphaned = self.orphaned_ends.clone();
+        let Some(owner) = self.owners.get_mut(key) else {
+            return;
+        };
+        owner.is_resumed = true;
+        let mut ended = std::mem::take(&mut owner.ended);
+        ended.extend(orphaned);
+        let Some(session) = owner.session else {
+            return;
+        };
+        self.send(session, SideReport::Resume { running, ended });
+        let entry = key.entry.clone();
+        self.decided(AgentDecision::EntryJoined { entry });
+    }
+
+    fn adopt(&mut self, now: Moment, key: &OwnerKey, runs: Vec<AdoptedRun>) {
+        for adopted in runs {
+            let Some(percent) = self.survivors.swap_remove(&adopted.run) else {
+                continue;
+            };
+            let run = Run {
+                owner: key.clone(),
+                room: adopted.room,
+                estimate_ms: adopted.estimate_ms,
+                since: now,
+                phase: RunPhase::Running,
+                percent,
+                progressed: now,
+                missed: 0,
+            };
+            self.runs.insert(adopted.run, run);
+        }
+    }
+
+    fn start(&mut self, now: Moment, key: &OwnerKey, start: StartOrder) {
+        let Some(owner) = self.owners.get_mut(key) else {
+            return;
+        };
+        owner.starts += 1;
+        if let Some(cause) = self.reason_against(now, &start) {
+            self.turn_away(key, start.run, cause);
+            return;
+        }
+        let run = Run {
+            owner: key.clone(),
+            room: start.room,
+            estimate_ms: start.estimate_ms,
+            since: now,
+            phase: RunPhase::Ordered,
+            percent: 0,
+            progressed: now,
+            missed: 0,
+        };
+        self.runs.insert(start.run, run);
+        let hold_until_ms = self.hold_until(now);
+        self.link.note_hold(hold_until_ms);
+        self.effects.push(AgentEffect::Order {
+            run: start.run,
+            payload: start.payload,
+            hold_until_ms,
+            token: self.link.token.unwrap_or_default(),
+            target: self.target_id(),
+        });
+    }
+
+    fn reason_against(&self, now: Moment, start: &StartOrder) -> Option<NotRunCause> {
+        if self.is_stopping || self.link.is_draining {
+            return Some(NotRunCause::Draining);
+        }
+        let is_paused = self.health.is_on_probation() && now < self.health.paused_until();
+        if self.condition == TargetCondition::Absent || self.link.token.is_none() {
+            return Some(NotRunCause::TargetUnavailable);
+        }
+        let is_known = self.runs.get(&start.run).is_some();
+        if is_paused || is_known || !self.free().holds(&start.room) {
+            return Some(NotRunCause::NoRoom);
+        }
+        None
+    }
+
+    fn turn_away(&mut self, key: &OwnerKey, run: RunId, cause: NotRunCause) {
+        self.decided(AgentDecision::TurnedAway {
+            run,
+            cause,
+            free_cpu_millis: self.free().cpu_millis,
+        });
+        if let Some(owner) = self.owners.get_mut(key) {
+            owner.ended.push(EndedRun {
+                run,
+                end: EndOfRun::NotRun(cause),
+                ran_ms: 0,
+            });
+        }
+    }
+
+    fn stop_for(&mut self, now: Moment, key: &OwnerKey, run: RunId) {
+        if self.runs.get(&run).is_some_and(|held| held.owner == *key) {
+            self.stop_run(now, run, EndOfRun::Stopped);
+        }
+    }
+
+    pub(super) fn stop_run(&mut self, now: Moment, id: RunId, end: EndOfRun) {
+        let Some(run) = self.runs.get_mut(&id) else {
+            return;
+        };
+        if matches!(run.phase, RunPhase::Stopping { .. }) {
+            return;
+        }
+        run.phase = RunPhase::Stopping {
+            end,
+            sent: now,
+            acknowledged: None,
+        };
+        let percent = run.percent;
+        self.decided(AgentDecision::Stopping {
+            run: id,
+            end,
+            percent,
+        });
+        self.send_stop(id);
+    }
+
+    pub(super) fn send_stop(&mut self, run: RunId) {
+        let token = self.link.token.unwrap_or_default();
+        self.effects.push(AgentEffect::StopRun { run, token });
+    }
+
+    pub(super) fn retry_stops(&mut self, now: Moment) {
+        let retry = self.settings.stop_retry;
+        let mut again = Vec::new();
+        for (id, run) in self.runs.iter_mut() {
+            if let RunPhase::Stopping {
+                sent,
+                acknowledged: None,
+                ..
+            } = &mut run.phase
+                && now.since(*sent) >= retry
+            {
+                *sent = now;
+                again.push(*id);
+            }
+        }
+        for id in again {
+            self.send_stop(id);
+        }
+    }
+
+    pub(super) fn stop_answered(&mut self, now: Moment, id: RunId, is_acknowledged: bool) {
+        let Some(run) = self.runs.get_mut(&id) else {
+            return;
+        };
+        if let RunPhase::Stopping { acknowledged, .. } = &mut run.phase
+            && is_acknowledged
+        {
+            acknowledged.get_or_insert(now);
+            self.look_not_before = now;
+        }
+    }
+
+    pub(super) fn order_answered(&mut self, now: Moment, id: RunId, outcome: OrderOutcome) {
+        match outcome {
+            OrderOutcome::Started { clock_ms } => self.order_started(now, id, clock_ms),
+            OrderOutcome::Refused(refusal) => self.order_refused(now, id, refusal),
+            OrderOutcome::Unreachable => {
+                self.link.failed_looks += 1;
+                self.look_not_before = now;
+                self.end_unstarted(now, id, NotRunCause::TargetUnavailable);
+            }
+            OrderOutcome::NoAnswer => self.order_unanswered(now, id),
+        }
+    }
+
+    fn order_started(&mut self, now: Moment, id: RunId, clock_ms: u64) {
+        self.link.read_clock(now, clock_ms);
+        if let Some(run) = self.runs.get_mut(&id)
+            && matches!(run.phase, RunPhase::Ordered | RunPhase::Unconfirmed { .. })
+        {
+            run.phase = RunPhase::Running;
+            run.progressed = now;
+        }
+    }
+
+    fn order_unanswered(&mut self, now: Moment, id: RunId) {
+        let Some(run) = self.runs.get_mut(&id) else {
+            return;
+        };
+        if run.phase == RunPhase::Ordered {
+            run.phase = RunPhase::Unconfirmed { since: now };
+            self.look_not_before = now;
+            self.decided(AgentDecision::Unconfirmed { run: id });
+        }
+    }
+
+    fn order_refused(&mut self, now: Moment, id: RunId, refusal: OrderRefusal) {
+        match refusal {
+            OrderRefusal::Old => self.end_unstarted(now, id, NotRunCause::OldAttempt),
+            OrderRefusal::Late => self.end_unstarted(now, id, NotRunCause::Late),
+            OrderRefusal::NoRoom => self.end_unstarted(now, id, NotRunCause::NoRoom),
+            OrderRefusal::Rejected => self.end_unstarted(now, id, NotRunCause::Rejected),
+            OrderRefusal::Unhealthy => {
+                self.health.note_failed(now);
+                self.end_unstarted(now, id, NotRunCause::TargetUnavailable);
+            }
+            OrderRefusal::Fenced { clock_ms } => {
+                self.take_token(now, clock_ms);
+                self.end_unstarted(now, id, NotRunCause::TargetUnavailable);
+            }
+            OrderRefusal::OtherInstance => {
+                self.end_unstarted(now, id, NotRunCause::TargetUnavailable);
+                self.instance_over(now);
+            }
+        }
+    }
+
+    fn end_unstarted(&mut self, now: Moment, id: RunId, cause: NotRunCause) {
+        let phase = self.runs.get(&id).map(|run| run.phase);
+        match phase {
+            Some(RunPhase::Ordered) => self.end_run(now, id, EndOfRun::NotRun(cause)),
+            // An earlier copy of the order may have been done: only a look can tell.
+            _ => self.look_not_before = now,
+        }
+    }
+
+    /// Takes a run out and tells its entry.
+    pub(super) fn end_run(&mut self, now: Moment, id: RunId, end: EndOfRun) {
+        let Some(run) = self.runs.remove(&id) else {
+            return;
+        };
+        let ran = now.since(run.since);
+        let ended = EndedRun {
+            run: id,
+            end: self.judge(now, end, &run),
+            ran_ms: ran.as_millis() as u32,
+        };
+        self.decided(AgentDecision::RunEnded {
+            run: id,
+            end: ended.end,
+            ran_ms: ended.ran_ms,
+        });
+        if let Some(owner) = self.owners.get_mut(&run.owner) {
+            owner.ended.push(ended);
+        }
+    }
+
+    /// What an end says of the target.
+    fn judge(&mut self, now: Moment, end: EndOfRun, run: &Run) -> EndOfRun {
+        match end {
+            EndOfRun::Done => {
+                let estimate = std::time::Duration::from_millis(u64::from(run.estimate_ms));
+                self.health.note_done(now.since(run.since), estimate);
+                end
+            }
+            EndOfRun::Failed { .. } => EndOfRun::Failed {
+                is_target_suspect: self.health.note_failed(now),
+            },
+            EndOfRun::Stalled => {
+                self.health.note_stalled(now);
+                end
+            }
+            _ => end,
+        }
+    }
+}
--- /dev/null
+++ b/crates/mastknot_core/src/agent/owners.rs
@@ -0,0 +1,95 @@
+use std::collections::VecDeque;
+
+use super::SessionId;
+use crate::job::{EndedRun, Room, TargetCondition, TargetId};
+use crate::types::{Incarnation, Moment, NodeName};
+
+/// One life of an entry.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub(crate) struct OwnerKey {
+    pub(crate) entry: NodeName,
+    pub(crate) incarnation: Incarnation,
+}
+
+/// What an entry was last told.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Told {
+    pub(crate) free: Room,
+    pub(crate) condition: TargetCondition,
+    pub(crate) target: Option<TargetId>,
+}
+
+/// The most report numbers that are kept to time a lease.
+const MAX_SENT: usize = 512;
+
+/// An entry that may run tasks here, and its lease.
+#[derive(Clone, Debug)]
+pub(crate) struct Owner {
+    pub(crate) session: Option<SessionId>,
+    /// Whether the runs of an earlier link have been settled on this one.
+    pub(crate) is_resumed: bool,
+    /// When the newest report was sent that the entry is known to have received.
+    pub(crate) lease_from: Moment,
+    pub(crate) starts: u64,
+    pub(crate) has_waiting: bool,
+    pub(crate) ended: Vec<EndedRun>,
+    pub(crate) told: Told,
+    pub(crate) last_sent: Moment,
+    next_number: u64,
+    sent: VecDeque<SentReport>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct SentReport {
+    number: u64,
+    at: Moment,
+}
+
+impl Owner {
+    pub(crate) fn new(lease_from: Moment) -> Self {
+        Self {
+            session: None,
+            is_resumed: false,
+            lease_from,
+            starts: 0,
+            has_waiting: false,
+            ended: Vec::new(),
+            told: Told::default(),
+            last_sent: Moment::default(),
+            next_number: 1,
+            sent: VecDeque::new(),
+        }
+    }
+
+    /// The number of the report that is sent now.
+    pub(crate) fn number_report(&mut self, now: Moment) -> u64 {
+        let number = self.next_number;
+        self.next_number += 1;
+        self.last_sent = now;
+        if self.sent.len() == MAX_SENT {
+            self.sent.pop_front();
+        }
+        self.sent.push_back(SentReport { number, at: now });
+        number
+    }
+
+    /// The entry has received all reports up to this number.
+    pub(crate) fn note_heard(&mut self, heard: u64) {
+        while let Some(oldest) = self.sent.front().copied() {
+            if oldest.number > heard {
+                break;
+            }
+            self.lease_from = self.lease_from.max(oldest.at);
+            self.sent.pop_front();
+        }
+    }
+
+    /// Takes a new link of the same life of the entry.
+    pub(crate) fn take_session(&mut self, session: SessionId) {
+        self.session = Some(session);
+        self.is_resumed = false;
+        self.starts = 0;
+        self.told = Told::default();
+        self.sent.clear();
+    }
+}
--- /dev/null
+++ b/crates/mastknot_core/src/agent/reporting.rs
@@ -0,0 +1,101 @@
+//! When entries are told how the target stands.
+
+use super::owners::{Owner, OwnerKey, Told};
+use super::target_agent::TargetAgent;
+use crate::job::{ConfigDocument, KnownEntry, Room, SideReport, SideStatus};
+use crate::types::Moment;
+
+use super::AgentEffect;
+
+impl TargetAgent {
+    pub(super) fn report_all(&mut self, now: Moment) {
+        self.resume_links(now);
+        let due = self.owners.iter().filter(|(_, owner)| {
+            let due = self.report_due(owner);
+            due.is_some_and(|due| now >= due)
+        });
+        let due: Vec<OwnerKey> = due.map(|(key, _)| key.clone()).collect();
+        for key in due {
+            self.report(now, &key);
+        }
+    }
+
+    /// When an entry is told next; at once if runs of it have ended.
+    pub(super) fn report_due(&self, owner: &Owner) -> Option<Moment> {
+        if owner.session.is_none() {
+            return None;
+        }
+        if !owner.ended.is_empty() {
+            return Some(owner.last_sent);
+        }
+        let delay = match (self.is_news(owner), owner.has_waiting) {
+            (true, true) => self.settings.eager_report_delay,
+            (true, false) => self.settings.idle_report_delay,
+            (false, _) => self.settings.terms.heartbeat,
+        };
+        Some(owner.last_sent + delay)
+    }
+
+    fn is_news(&self, owner: &Owner) -> bool {
+        owner.told.free != self.free()
+            || owner.told.condition != self.condition
+            || owner.told.target != self.target_id()
+    }
+
+    fn report(&mut self, now: Moment, key: &OwnerKey) {
+        let free = self.free();
+        let target = self.target_id();
+        let condition = self.condition;
+        let pace_percent = self.health.pace_percent();
+        let profile = self.link.profile.clone();
+        let Some(owner) = self.owners.get_mut(key) else {
+            return;
+        };
+        let Some(session) = owner.session else {
+            return;
+        };
+        let is_new_target = owner.told.target != target;
+        owner.told = Told {
+            free,
+            condition,
+            target,
+        };
+        let status = SideStatus {
+            number: owner.number_report(now),
+            starts_included: owner.starts,
+            free,
+            condition,
+            pace_percent,
+            target: profile.filter(|_| is_new_target),
+            ended: std::mem::take(&mut owner.ended),
+        };
+        self.send(session, SideReport::Status(status));
+    }
+
+    pub(super) fn learn_entries(&mut self, entries: Vec<KnownEntry>) {
+        if entries.is_empty() || entries == self.entries {
+            return;
+        }
+        self.entries = entries;
+        let entries = self.entries.clone();
+        self.effects.push(AgentEffect::Entries(entries));
+    }
+
+    pub(super) fn learn_document(&mut self, document: Option<ConfigDocument>) {
+        let Some(document) = document else {
+            return;
+        };
+        let known = self.document.as_ref().map_or(0, |known| known.version);
+        if document.version <= known {
+            return;
+        }
+        self.document = Some(document.clone());
+        self.effects.push(AgentEffect::Document(document));
+    }
+
+    /// What the target has in all.
+    pub fn capacity(&self) -> Room {
+        let profile = self.link.profile.as_ref();
+        profile.map(|profile| profile.capacity).unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/crates/mastknot_core/src/agent/run_table.rs
@@ -0,0 +1,119 @@
+use indexmap::IndexMap;
+
+use super::owners::OwnerKey;
+use crate::job::{EndOfRun, Room, RunId};
+use crate::types::Moment;
+
+/// Where a run stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RunPhase {
+    /// The target was told to start it.
+    Ordered,
+    /// The order got no answer.
+    Unconfirmed {
+        /// When that was found.
+        since: Moment,
+    },
+    /// It is known to run.
+    Running,
+    /// The target was told to stop it.
+    Stopping {
+        /// What its end is called unless the target says otherwise.
+        end: EndOfRun,
+        /// When the last order to stop was sent.
+        sent: Moment,
+        /// When the target acknowledged one.
+        acknowledged: Option<Moment>,
+    },
+}
+
+/// A run that takes room at the target.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Run {
+    /// The entry that ordered it.
+    pub(crate) owner: OwnerKey,
+    /// What it takes.
+    pub room: Room,
+    /// A guess of its time, in milliseconds.
+    pub estimate_ms: u32,
+    /// When it was ordered.
+    pub since: Moment,
+    /// Where it stands.
+    pub phase: RunPhase,
+    /// Its progress in percent.
+    pub percent: u8,
+    /// When the progress last changed.
+    pub progressed: Moment,
+    /// How often in a row the target did not list it although it should.
+    pub missed: u32,
+}
+
+/// The runs that take room at one target.
+#[derive(Clone, Debug, Default)]
+pub struct RunTable {
+    runs: IndexMap<RunId, Run>,
+    used: Room,
+}
+
+impl RunTable {
+    /// Adds a run.
+    pub fn insert(&mut self, id: RunId, run: Run) {
+        self.used = self.used.with(&run.room);
+        if let Some(before) = self.runs.insert(id, run) {
+            self.used = self.used.without(&before.room);
+        }
+    }
+
+    /// Takes a run out.
+    pub fn remove(&mut self, id: &RunId) -> Option<Run> {
+        let run = self.runs.swap_remove(id)?;
+        self.used = self.used.without(&run.room);
+        Some(run)
+    }
+
+    /// A run.
+    pub fn get(&self, id: &RunId) -> Option<&Run> {
+        self.runs.get(id)
+    }
+
+    /// A run, to be changed; its room stays.
+    pub fn get_mut(&mut self, id: &RunId) -> Option<&mut Run> {
+        self.runs.get_mut(id)
+    }
+
+    /// All runs.
+    pub fn iter(&self) -> impl Iterator<Item = (&RunId, &Run)> {
+        self.runs.iter()
+    }
+
+    /// All runs, to be changed; their room stays.
+    pub fn iter_mut(&mut self) -> impl Iterator<Item = (&RunId, &mut Run)> {
+        self.runs.iter_mut()
+    }
+
+    /// The runs of one entry.
+    pub(crate) fn of_owner(&self, owner: &OwnerKey) -> Vec<RunId> {
+        let own = self.runs.iter().filter(|(_, run)| run.owner == *owner);
+        own.map(|(id, _)| *id).collect()
+    }
+
+    /// The names of all runs.
+    pub fn ids(&self) -> Vec<RunId> {
+        self.runs.keys().copied().collect()
+    }
+
+    /// What all runs take together.
+    pub fn used(&self) -> Room {
+        self.used
+    }
+
+    /// How many there are.
+    pub fn len(&self) -> usize {
+        self.runs.len()
+    }
+
+    /// Whether there are none.
+    pub fn is_empty(&self) -> bool {
+        self.runs.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/mastknot_core/src/agent/target_agent.rs
@@ -0,0 +1,277 @@
+use indexmap::IndexMap;
+
+use super::owners::{Owner, OwnerKey};
+use super::target_link::TargetLink;
+use super::{
+    AgentDecision, AgentEffect, AgentEvent, AgentSettings, LeaseEndCause, RunPhase, RunTable,
+    SessionId, TargetHealth,
+};
+use crate::job::{
+    ConfigDocument, EndOfRun, EndedRun, KnownEntry, Room, RunId, SideHello, SideReport,
+    TargetCondition, TargetId, TargetProfile,
+};
+use crate::types::Moment;
+
+/// A link on which the entry has not said yet who it is.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Greeting {
+    pub(super) hello_sent: Moment,
+}
+
+/// The look at the target that is under way.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct LookInFlight {
+    pub(super) number: u64,
+    pub(super) sent: Moment,
+}
+
+/// The core of a side: it alone gives orders to its target.
+///
+/// It runs tasks for entries as long as their leases last, tells them what room is free, and says
+/// of each run how it ended. A run is reported as over only when the target listed its end, the
+/// target has fenced it, the hold has run out, or the target's life has ended.
+#[derive(Clone, Debug)]
+pub struct TargetAgent {
+    pub(super) settings: AgentSettings,
+    pub(super) started: Option<Moment>,
+    pub(super) link: TargetLink,
+    pub(super) health: TargetHealth,
+    pub(super) runs: RunTable,
+    /// Runs of an earlier life of this process that no entry has taken over yet.
+    pub(super) survivors: IndexMap<RunId, u8>,
+    /// Ends that were listed before their entries had said who they are.
+    pub(super) orphaned_ends: Vec<EndedRun>,
+    pub(super) owners: IndexMap<OwnerKey, Owner>,
+    pub(super) sessions: IndexMap<SessionId, OwnerKey>,
+    pub(super) greetings: IndexMap<SessionId, Greeting>,
+    pub(super) look: Option<LookInFlight>,
+    pub(super) next_look: u64,
+    pub(super) look_not_before: Moment,
+    pub(super) entries: Vec<KnownEntry>,
+    pub(super) document: Option<ConfigDocument>,
+    pub(super) condition: TargetCondition,
+    pub(super) is_stopping: bool,
+    pub(super) is_drained: bool,
+    pub(super) effects: Vec<AgentEffect>,
+}
+
+impl TargetAgent {
+    /// An agent that knows nothing of its target yet.
+    pub fn new(settings: AgentSettings) -> Self {
+        Self {
+            settings,
+            started: None,
+            link: TargetLink::default(),
+            health: TargetHealth::default(),
+            runs: RunTable::default(),
+            survivors: IndexMap::new(),
+            orphaned_ends: Vec::new(),
+            owners: IndexMap::new(),
+            sessions: IndexMap::new(),
+            greetings: IndexMap::new(),
+            look: None,
+            next_look: 1,
+            look_not_before: Moment::default(),
+            entries: Vec::new(),
+            document: None,
+            condition: TargetCondition::Absent,
+            is_stopping: false,
+            is_drained: false,
+            effects: Vec::new(),
+        }
+    }
+
+    /// Handles one event.
+    pub fn step(&mut self, now: Moment, event: AgentEvent) -> Vec<AgentEffect> {
+        let started = *self.started.get_or_insert(now);
+        self.end_lapsed_leases(now);
+        self.handle(now, event);
+        self.settle_target(now, started);
+        self.retry_stops(now);
+        self.drop_survivors(now, started);
+        self.update_condition(now);
+        self.ensure_look(now);
+        self.report_all(now);
+        self.note_drained();
+        std::mem::take(&mut self.effects)
+    }
+
+    fn handle(&mut self, now: Moment, event: AgentEvent) {
+        match event {
+            AgentEvent::LinkUp { session } => self.greet(now, session),
+            AgentEvent::FromEntry { session, orders } => {
+                for order in orders {
+                    self.handle_order(now, session, order);
+                }
+            }
+            AgentEvent::LinkDown { session } => self.link_down(session),
+            AgentEvent::TargetReported {
+                profile,
+                is_draining,
+            } => self.target_reported(now, profile, is_draining),
+            AgentEvent::TargetLeft { target } => self.target_left(now, &target),
+            AgentEvent::OrderAnswered { run, outcome } => self.order_answered(now, run, outcome),
+            AgentEvent::StopAnswered {
+                run,
+                is_acknowledged,
+            } => self.stop_answered(now, run, is_acknowledged),
+            AgentEvent::Looked { number, result } => self.looked(now, number, result),
+            AgentEvent::EntriesFound(entries) => self.learn_entries(entries),
+            AgentEvent::Tick => {}
+            AgentEvent::Stop => self.is_stopping = true,
+        }
+    }
+
+    fn greet(&mut self, now: Moment, session: SessionId) {
+        self.greetings.insert(session, Greeting { hello_sent: now });
+        let hello = SideHello {
+            side: self.settings.side.clone(),
+            incarnation: self.settings.incarnation,
+            hall: self.settings.hall.clone(),
+            document: self.document.clone(),
+        };
+        self.send(session, SideReport::Hello(hello));
+    }
+
+    fn link_down(&mut self, session: SessionId) {
+        self.greetings.swap_remove(&session);
+        let Some(key) = self.sessions.swap_remove(&session) else {
+            return;
+        };
+        if let Some(owner) = self.owners.get_mut(&key)
+            && owner.session == Some(session)
+        {
+            owner.session = None;
+            owner.is_resumed = false;
+        }
+    }
+
+    /// Stops what runs for entries that have been silent for their lease.
+    fn end_lapsed_leases(&mut self, now: Moment) {
+        let limit = self.settings.terms.entry_lease;
+        let lapsed = |owner: &Owner| now.since(owner.lease_from) > limit;
+        let ended = self.owners.iter().filter(|(_, owner)| lapsed(owner));
+        let ended: Vec<OwnerKey> = ended.map(|(key, _)| key.clone()).collect();
+        for key in ended {
+            self.end_lease(now, &key, LeaseEndCause::Silence);
+        }
+    }
+
+    pub(super) fn end_lease(&mut self, now: Moment, key: &OwnerKey, cause: LeaseEndCause) {
+        let Some(owner) = self.owners.swap_remove(key) else {
+            return;
+        };
+        if let Some(session) = owner.session {
+            self.sessions.swap_remove(&session);
+            self.effects.push(AgentEffect::Close { session });
+        }
+        let runs = self.runs.of_owner(key);
+        self.decided(AgentDecision::LeaseEnded {
+            entry: key.entry.clone(),
+            cause,
+            age_ms: now.since(owner.lease_from).as_millis() as u64,
+            runs: runs.len(),
+        });
+        for run in runs {
+            self.stop_run(now, run, EndOfRun::Stopped);
+        }
+    }
+
+    /// After a start, nothing of an earlier life can be left once its hold must have run out.
+    fn settle_target(&mut self, now: Moment, started: Moment) {
+        if !self.link.is_settled && now.since(started) > self.settings.adoption_limit {
+            self.link.is_settled = true;
+        }
+    }
+
+    fn drop_survivors(&mut self, now: Moment, started: Moment) {
+        if now.since(started) <= self.settings.adoption_limit {
+            return;
+        }
+        self.orphaned_ends.clear();
+        for (run, _) in std::mem::take(&mut self.survivors) {
+            self.send_stop(run);
+        }
+    }
+
+    /// What is free for new runs now.
+    pub fn free(&self) -> Room {
+        let Some(profile) = &self.link.profile else {
+            return Room::default();
+        };
+        match self.condition {
+            TargetCondition::Absent | TargetCondition::Draining => Room::default(),
+            TargetCondition::Probation if !self.runs.is_empty() => Room::default(),
+            TargetCondition::Probation | TargetCondition::Ready => {
+                profile.capacity.without(&self.runs.used())
+            }
+        }
+    }
+
+    /// Whether the target takes work.
+    pub fn condition(&self) -> TargetCondition {
+        self.condition
+    }
+
+    /// The target, if one is known.
+    pub fn target(&self) -> Option<&TargetProfile> {
+        self.link.profile.as_ref()
+    }
+
+    /// The runs that take room.
+    pub fn runs(&self) -> &RunTable {
+        &self.runs
+    }
+
+    /// The newest configuration that was heard of.
+    pub fn document(&self) -> Option<&ConfigDocument> {
+        self.document.as_ref()
+    }
+
+    pub(super) fn target_id(&self) -> Option<TargetId> {
+        self.link.profile.as_ref().map(|profile| profile.id.clone())
+    }
+
+    pub(super) fn send(&mut self, session: SessionId, report: SideReport) {
+        self.effects.push(AgentEffect::Send { session, report });
+    }
+
+    pub(super) fn decided(&mut self, decision: AgentDecision) {
+        self.effects.push(AgentEffect::Decided(decision));
+    }
+
+    fn note_drained(&mut self) {
+        let is_idle = self.runs.is_empty() && self.survivors.is_empty();
+        if self.is_stopping && is_idle && !self.is_drained {
+            self.is_drained = true;
+            self.effects.push(AgentEffect::Drained);
+        }
+    }
+
+    /// The next moment at which time alone changes something.
+    pub fn next_tick(&self) -> Option<Moment> {
+        let terms = &self.settings.terms;
+        let leases = self
+            .owners
+            .values()
+            .map(|owner| owner.lease_from + terms.entry_lease);
+        let reports = self
+            .owners
+            .values()
+            .filter_map(|owner| self.report_due(owner));
+        let stops = self.runs.iter().filter_map(|(_, run)| match run.phase {
+            RunPhase::Stopping { sent, .. } => Some(sent + self.settings.stop_retry),
+            _ => None,
+        });
+        let paused = self.health.paused_until();
+        let wakes = [
+            (self.link.profile.is_some() && self.health.is_on_probation()).then_some(paused),
+            self.look_due(),
+            (!self.survivors.is_empty() || !self.link.is_settled)
+                .then(|| self.started.unwrap_or_default() + self.settings.adoption_limit),
+            self.silence_due(),
+        ];
+        let all = leases.chain(reports).chain(stops);
+        all.chain(wakes.into_iter().flatten()).min()
+    }
+}
--- /dev/null
+++ b/crates/mastknot_core/src/job/entry_order.rs
@@ -0,0 +1,80 @@
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use bincode::{Decode, Encode};
+
+use super::{ConfigDocument, Room, RunId, TargetProfile};
+use crate::types::{Incarnation, NodeName};
+
+/// An entry that a process knows of.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Encode, Decode)]
+pub struct KnownEntry {
+    /// Its name.
+    pub name: NodeName,
+    /// Where sides dial it.
+    pub address: SocketAddr,
+}
+
+/// An entry's first message on a link.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct EntryWelcome {
+    /// The entry.
+    pub entry: NodeName,
+    /// Its run.
+    pub incarnation: Incarnation,
+    /// What it last knew of the side's target, for a side that has just started.
+    pub remembered_target: Option<TargetProfile>,
+    /// The entries it knows.
+    pub entries: Vec<KnownEntry>,
+    /// The configuration it has.
+    pub document: Option<ConfigDocument>,
+}
+
+/// Starts a task.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct StartOrder {
+    /// The run.
+    pub run: RunId,
+    /// What the target is given.
+    pub payload: Arc<str>,
+    /// What the task takes.
+    pub room: Room,
+    /// A guess of its time, in milliseconds.
+    pub estimate_ms: u32,
+}
+
+/// A run that an entry takes over from a side's earlier life.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct AdoptedRun {
+    /// The run.
+    pub run: RunId,
+    /// What it takes.
+    pub room: Room,
+    /// A guess of its time, in milliseconds.
+    pub estimate_ms: u32,
+}
+
+/// What an entry says to a side.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub enum EntryOrder {
+    /// The first message.
+    Welcome(EntryWelcome),
+    /// These runs, which the side listed, are this entry's.
+    Adopt(Vec<AdoptedRun>),
+    /// Start a task.
+    Start(StartOrder),
+    /// Stop a run.
+    Stop(RunId),
+    /// The entry lives. Its lease at the side counts from the moment at which the side sent the
+    /// report with this number.
+    Heartbeat {
+        /// The highest report number that the entry has received.
+        heard: u64,
+        /// Whether tasks wait at the entry for room.
+        has_waiting: bool,
+    },
+    /// The entries have changed.
+    Entries(Vec<KnownEntry>),
+    /// A newer configuration.
+    Document(ConfigDocument),
+}
--- /dev/null
+++ b/crates/mastknot_core/src/job/room.rs
@@ -0,0 +1,50 @@
+use bincode::{Decode, Encode};
+
+/// What a task takes, or a target has: processor, memory, accelerators.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Encode, Decode)]
+pub struct Room {
+    /// Thousandths of a core.
+    pub cpu_millis: u32,
+    /// Megabytes.
+    pub memory_mb: u32,
+    /// Whole accelerators.
+    pub accelerators: u32,
+}
+
+impl Room {
+    /// Whether `task` fits into this.
+    pub fn holds(&self, task: &Self) -> bool {
+        task.cpu_millis <= self.cpu_millis
+            && task.memory_mb <= self.memory_mb
+            && task.accelerators <= self.accelerators
+    }
+
+    /// What is left without `task`, nothing below zero.
+    pub fn without(&self, task: &Self) -> Self {
+        Self {
+            cpu_millis: self.cpu_millis.saturating_sub(task.cpu_millis),
+            memory_mb: self.memory_mb.saturating_sub(task.memory_mb),
+            accelerators: self.accelerators.saturating_sub(task.accelerators),
+        }
+    }
+
+    /// Both together.
+    pub fn with(&self, task: &Self) -> Self {
+        Self {
+            cpu_millis: self.cpu_millis.saturating_add(task.cpu_millis),
+            memory_mb: self.memory_mb.saturating_add(task.memory_mb),
+            accelerators: self.accelerators.saturating_add(task.accelerators),
+        }
+    }
+
+    /// The largest share of `whole` that this takes, in thousandths.
+    pub fn permille_of(&self, whole: &Self) -> u32 {
+        let share = |part: u32, whole: u32| match whole {
+            0 => 0,
+            whole => (u64::from(part) * 1_000 / u64::from(whole)) as u32,
+        };
+        share(self.cpu_millis, whole.cpu_millis)
+            .max(share(self.memory_mb, whole.memory_mb))
+            .max(share(self.accelerators, whole.accelerators))
+    }
+}
--- /dev/null
+++ b/crates/mastknot_core/src/job/side_report.rs
@@ -0,0 +1,80 @@
+use bincode::{Decode, Encode};
+
+use super::{ConfigDocument, EndOfRun, Room, RunId, TargetProfile};
+use crate::types::{Hall, Incarnation, NodeName};
+
+/// A side's first message on a link.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct SideHello {
+    /// The side.
+    pub side: NodeName,
+    /// Its run.
+    pub incarnation: Incarnation,
+    /// Its hall.
+    pub hall: Hall,
+    /// The configuration that it last heard of.
+    pub document: Option<ConfigDocument>,
+}
+
+/// A run that is over.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct EndedRun {
+    /// The run.
+    pub run: RunId,
+    /// How it ended.
+    pub end: EndOfRun,
+    /// How long it ran, in milliseconds.
+    pub ran_ms: u32,
+}
+
+/// Whether a target takes work.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Encode, Decode)]
+pub enum TargetCondition {
+    /// No target is known or it does not answer.
+    #[default]
+    Absent,
+    /// It takes work.
+    Ready,
+    /// It has failed several runs in a row and gets one at a time.
+    Probation,
+    /// It is leaving.
+    Draining,
+}
+
+/// How a side's target stands.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Encode, Decode)]
+pub struct SideStatus {
+    /// The number of this report; it rises.
+    pub number: u64,
+    /// How many starts of this entry on this link the figures below include.
+    pub starts_included: u64,
+    /// What is free.
+    pub free: Room,
+    /// Whether it takes work.
+    pub condition: TargetCondition,
+    /// Recent run times against their estimates, in percent.
+    pub pace_percent: u32,
+    /// The target, when it has changed since the last report on this link.
+    pub target: Option<TargetProfile>,
+    /// Runs of this entry that have ended.
+    pub ended: Vec<EndedRun>,
+}
+
+/// What a side says to an entry.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub enum SideReport {
+    /// The first message.
+    Hello(SideHello),
+    /// After the entry's welcome: the runs that go on, and those that have ended. Any other run
+    /// that the entry has ordered here is over or never began.
+    Resume {
+        /// Runs that go on; of a side that has restarted, those of all entries.
+        running: Vec<RunId>,
+        /// Runs that have ended and may not have been reported.
+        ended: Vec<EndedRun>,
+    },
+    /// How the target stands.
+    Status(SideStatus),
+    /// The side ends by plan: it takes nothing more on this link.
+    Leaving,
+}
--- a/crates/mastknot_core/src/lib.rs
+++ b/crates/mastknot_core/src/lib.rs
@@ -14,12 +14,15 @@
 //! This crate has no feature flags.
 
 pub mod admission;
+pub mod agent;
 pub mod config;
 pub mod decision;
 pub mod dispatch;
 pub mod entry;
+pub mod job;
 pub mod message;
 pub mod roster;
+pub mod scheduler;
 pub mod side;
 pub mod submission;
 pub mod types;
--- /dev/null
+++ b/crates/mastknot_core/src/scheduler/active_job.rs
@@ -0,0 +1,147 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::CallerId;
+use super::order_key::{JobTimes, OrderKey};
+use crate::job::{AttemptNumbers, JobRequest, QueuePolicy, StepSpec, TaskRef};
+use crate::types::{Moment, NodeName};
+
+/// Where a task stands.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum TaskState {
+    /// Steps before it are not done.
+    Blocked,
+    /// It waits for room.
+    Waiting,
+    /// It was given to a side and is not known to be over.
+    Ordered { side: NodeName, attempt: u64 },
+    /// It has done its work.
+    Done,
+}
+
+/// A task of an active job.
+#[derive(Clone, Debug)]
+pub(crate) struct ActiveTask {
+    pub(crate) name: TaskRef,
+    pub(crate) state: TaskState,
+    /// Failures that count.
+    pub(crate) failures: u32,
+    /// Sides where it failed or stood still.
+    pub(crate) avoided: Vec<NodeName>,
+}
+
+/// A job that has not been answered, or of which something may still run.
+#[derive(Clone, Debug)]
+pub(crate) struct ActiveJob {
+    pub(crate) request: JobRequest,
+    pub(crate) policy: Arc<QueuePolicy>,
+    pub(crate) callers: Vec<CallerId>,
+    pub(crate) sequence: u64,
+    pub(crate) arrived: Moment,
+    pub(crate) deadline: Moment,
+    pub(crate) times: JobTimes,
+    pub(crate) tasks: Vec<ActiveTask>,
+    pub(crate) attempts: AttemptNumbers,
+    pub(crate) first_start: Option<Moment>,
+    /// Starts ordered, and how many of them are known not to have begun.
+    pub(crate) starts: u64,
+    pub(crate) not_begun: u64,
+    /// Answered or abandoned: nothing more is started.
+    pub(crate) is_over: bool,
+    /// Its place among the waiting jobs, if it has one.
+    pub(crate) key: Option<OrderKey>,
+}
+
+impl ActiveJob {
+    /// The tasks of a new job.
+    pub(crate) fn tasks_of(request: &JobRequest) -> Vec<ActiveTask> {
+        let mut tasks = Vec::new();
+        for (step, spec) in request.steps.iter().enumerate() {
+            for index in 0..spec.count {
+                tasks.push(ActiveTask {
+                    name: TaskRef {
+                        job: request.id,
+                        step: step as u16,
+                        index,
+                    },
+                    state: TaskState::Blocked,
+                    failures: 0,
+                    avoided: Vec::new(),
+                });
+            }
+        }
+        tasks
+    }
+
+    pub(crate) fn step(&self, task: usize) -> &StepSpec {
+        &self.request.steps[usize::from(self.tasks[task].name.step)]
+    }
+
+    /// The place of a task in the list of tasks.
+    pub(crate) fn find(&self, name: &TaskRef) -> Option<usize> {
+        self.tasks.iter().position(|task| task.name == *name)
+    }
+
+    /// Lets the tasks wait for room whose earlier steps are done.
+    pub(crate) fn unblock(&mut self) {
+        let done: Vec<bool> = (0..self.request.steps.len())
+            .map(|step| self.is_step_done(step))
+            .collect();
+        for task in &mut self.tasks {
+            let spec = &self.request.steps[usize::from(task.name.step)];
+            let is_ready = spec.after.iter().all(|after| done[usize::from(*after)]);
+            if task.state == TaskState::Blocked && is_ready {
+                task.state = TaskState::Waiting;
+            }
+        }
+    }
+
+    fn is_step_done(&self, step: usize) -> bool {
+        let mut tasks = self.tasks.iter();
+        tasks.all(|task| usize::from(task.name.step) != step || task.state == TaskState::Done)
+    }
+
+    pub(crate) fn is_done(&self) -> bool {
+        self.tasks.iter().all(|task| task.state == TaskState::Done)
+    }
+
+    pub(crate) fn waiting(&self) -> Vec<usize> {
+        let tasks = self.tasks.iter().enumerate();
+        let waiting = tasks.filter(|(_, task)| task.state == TaskState::Waiting);
+        waiting.map(|(place, _)| place).collect()
+    }
+
+    pub(crate) fn has_waiting(&self) -> bool {
+        let mut tasks = self.tasks.iter();
+        !self.is_over && tasks.any(|task| task.state == TaskState::Waiting)
+    }
+
+    pub(crate) fn ordered(&self) -> usize {
+        let tasks = self.tasks.iter();
+        let ordered = tasks.filter(|task| matches!(task.state, TaskState::Ordered { .. }));
+        ordered.count()
+    }
+
+    /// Whether a task of it may have begun.
+    pub(crate) fn may_have_begun(&self) -> bool {
+        self.starts > self.not_begun
+    }
+
+    /// The longest chain of work that is left, by the callers' guesses.
+    pub(crate) fn remaining_chain(&self) -> Duration {
+        let mut ends = vec![Duration::ZERO; self.request.steps.len()];
+        for (step, spec) in self.request.steps.iter().enumerate() {
+            let before = spec
+                .after
+                .iter()
+                .map(|after| ends[usize::from(*after)])
+                .max();
+            let own = match self.is_step_done(step) {
+                true => Duration::ZERO,
+                false => spec.estimate,
+            };
+            ends[step] = before.unwrap_or_default() + own;
+        }
+        ends.into_iter().max().unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/crates/mastknot_core/src/scheduler/job_ends.rs
@@ -0,0 +1,145 @@
+//! Ends of runs and of jobs.
+
+use std::sync::Arc;
+
+use super::SchedulerDecision;
+use super::active_job::TaskState;
+use super::job_scheduler::JobScheduler;
+use crate::job::{EndOfRun, EndedRun, EntryOrder, JobAnswer, JobId, NotRunCause, RunId};
+use crate::types::{Moment, NodeName};
+
+/// The most sides that a task remembers to avoid.
+const MAX_AVOIDED: usize = 4;
+
+impl JobScheduler {
+    /// A run is over.
+    pub(super) fn run_over(&mut self, now: Moment, side: &NodeName, ended: &EndedRun) {
+        let run = ended.run;
+        let view = self.sides.get_mut(side);
+        let Some(id) = view.and_then(|view| view.runs.swap_remove(&run)) else {
+            return;
+        };
+        self.count_end(ended.end);
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        let Some(place) = job.find(&run.task) else {
+            return;
+        };
+        let is_current = matches!(
+            &job.tasks[place].state,
+            TaskState::Ordered { attempt, .. } if *attempt == run.attempt
+        );
+        if !is_current {
+            return;
+        }
+        let task = &mut job.tasks[place];
+        task.state = TaskState::Waiting;
+        match ended.end {
+            EndOfRun::Done => task.state = TaskState::Done,
+            EndOfRun::Failed { is_target_suspect } => {
+                task.failures += u32::from(!is_target_suspect);
+                task.avoid(side);
+            }
+            EndOfRun::Stalled | EndOfRun::Lost => task.avoid(side),
+            EndOfRun::NotRun(NotRunCause::OldAttempt) => job.attempts.raise(),
+            EndOfRun::Stopped | EndOfRun::NotRun(_) => {}
+        }
+        if matches!(ended.end, EndOfRun::NotRun(_)) {
+            job.not_begun += 1;
+        }
+        let failures = job.tasks[place].failures;
+        let has_failed = failures >= job.policy.max_attempts.max(1);
+        if ended.end != EndOfRun::Done && !job.is_over {
+            let request_id = Arc::clone(&job.request.request_id);
+            self.decided(SchedulerDecision::RunEnded {
+                run,
+                request_id,
+                side: side.clone(),
+                end: ended.end,
+                failures,
+            });
+        }
+        if has_failed {
+            self.answer(now, id, JobAnswer::Failed);
+        }
+        self.after_end(now, id, ended.end);
+    }
+
+    fn after_end(&mut self, now: Moment, id: JobId, end: EndOfRun) {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        if job.is_over {
+            self.forget_if_quiet(id);
+            return;
+        }
+        if end == EndOfRun::Done {
+            job.unblock();
+        }
+        self.queue_job(now, id);
+        self.finish_if_done(now, id);
+    }
+
+    pub(super) fn finish_if_done(&mut self, now: Moment, id: JobId) {
+        if self.jobs.get(&id).is_some_and(|job| job.is_done()) {
+            self.answer(now, id, JobAnswer::Completed);
+        }
+    }
+
+    /// Stops what runs of a job; it is forgotten when nothing does.
+    pub(super) fn end_job(&mut self, now: Moment, id: JobId) {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        job.is_over = true;
+        self.deadlines.remove(&(job.deadline, id));
+        let ordered = job.tasks.iter().filter_map(|task| match &task.state {
+            TaskState::Ordered { side, attempt } => Some((
+                side.clone(),
+                RunId {
+                    task: task.name,
+                    attempt: *attempt,
+                },
+            )),
+            _ => None,
+        });
+        let ordered: Vec<(NodeName, RunId)> = ordered.collect();
+        self.queue_job(now, id);
+        for (side, run) in ordered {
+            let session = self.sides.get(&side).and_then(|view| view.session);
+            if let Some(session) = session {
+                self.send(session, EntryOrder::Stop(run));
+            }
+        }
+        self.forget_if_quiet(id);
+    }
+
+    fn forget_if_quiet(&mut self, id: JobId) {
+        let is_quiet = |job: &super::active_job::ActiveJob| job.is_over && job.ordered() == 0;
+        if self.jobs.get(&id).is_some_and(is_quiet) {
+            self.jobs.remove(&id);
+        }
+    }
+
+    fn count_end(&mut self, end: EndOfRun) {
+        let counter = match end {
+            EndOfRun::Done => &mut self.counters.runs_done,
+            EndOfRun::Failed { .. } => &mut self.counters.runs_failed,
+            EndOfRun::Stopped => &mut self.counters.runs_stopped,
+            EndOfRun::Stalled => &mut self.counters.runs_stalled,
+            EndOfRun::Lost => &mut self.counters.runs_lost,
+            EndOfRun::NotRun(NotRunCause::NoRoom) => &mut self.counters.starts_without_room,
+            EndOfRun::NotRun(_) => &mut self.counters.starts_turned_away,
+        };
+        *counter += 1;
+    }
+}
+
+impl super::active_job::ActiveTask {
+    fn avoid(&mut self, side: &NodeName) {
+        if self.avoided.len() < MAX_AVOIDED && !self.avoided.contains(side) {
+            self.avoided.push(side.clone());
+        }
+    }
+}
--- /dev/null
+++ b/crates/mastknot_core/src/scheduler/job_scheduler.rs
@@ -0,0 +1,159 @@
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+use indexmap::IndexMap;
+
+use super::active_job::ActiveJob;
+use super::side_view::SideView;
+use super::{
+    CallerId, OrderKey, SchedulerCounters, SchedulerDecision, SchedulerEffect, SchedulerEvent,
+    SchedulerSettings, SessionId,
+};
+use crate::job::{ConfigDocument, EntryOrder, JobId, KnownEntry};
+use crate::types::{Moment, NodeName};
+
+/// The core of an entry: it owns the jobs that its callers hand in until they are answered.
+///
+/// A task is given to a side only when its earlier run is known to be over. Tasks wait here, not at
+/// sides: room that comes free goes to the job that needs it first.
+#[derive(Clone, Debug)]
+pub struct JobScheduler {
+    pub(super) settings: SchedulerSettings,
+    pub(super) jobs: HashMap<JobId, ActiveJob>,
+    pub(super) callers: HashMap<CallerId, JobId>,
+    pub(super) waiting: BTreeMap<OrderKey, JobId>,
+    pub(super) deadlines: BTreeSet<(Moment, JobId)>,
+    pub(super) sides: IndexMap<NodeName, SideView>,
+    pub(super) sessions: HashMap<SessionId, NodeName>,
+    pub(super) entries: Vec<KnownEntry>,
+    pub(super) document: Option<ConfigDocument>,
+    pub(super) next_sequence: u64,
+    pub(super) has_told_waiting: bool,
+    pub(super) counters: SchedulerCounters,
+    pub(super) effects: Vec<SchedulerEffect>,
+}
+
+impl JobScheduler {
+    /// A scheduler that knows no side yet.
+    pub fn new(settings: SchedulerSettings) -> Self {
+        Self {
+            settings,
+            jobs: HashMap::new(),
+            callers: HashMap::new(),
+            waiting: BTreeMap::new(),
+            deadlines: BTreeSet::new(),
+            sides: IndexMap::new(),
+            sessions: HashMap::new(),
+            entries: Vec::new(),
+            document: None,
+            next_sequence: 0,
+            has_told_waiting: false,
+            counters: SchedulerCounters::default(),
+            effects: Vec::new(),
+        }
+    }
+
+    /// Handles one event.
+    ///
+    /// What time has ended is ended first: a process that was paused must not act on old beliefs.
+    pub fn step(&mut self, now: Moment, event: SchedulerEvent) -> Vec<SchedulerEffect> {
+        self.expire_jobs(now);
+        self.end_silent_links(now);
+        self.handle(now, event);
+        self.end_lost_runs(now);
+        self.place_waiting(now);
+        self.beat(now);
+        std::mem::take(&mut self.effects)
+    }
+
+    fn handle(&mut self, now: Moment, event: SchedulerEvent) {
+        match event {
+            SchedulerEvent::Submit {
+                caller,
+                job,
+                policy,
+                time_left,
+                wall,
+            } => self.submit(now, caller, job, policy, time_left, wall),
+            SchedulerEvent::Abandon { caller } => self.abandon(now, caller),
+            SchedulerEvent::Cancel { job } => self.cancel(now, job),
+            SchedulerEvent::FromSide { session, reports } => {
+                for report in reports {
+                    self.handle_report(now, session, report);
+                }
+            }
+            SchedulerEvent::LinkDown { session } => self.link_down(now, session),
+            SchedulerEvent::Entries(entries) => self.tell_entries(entries),
+            SchedulerEvent::Document(document) => self.tell_document(document),
+            SchedulerEvent::Tick => {}
+        }
+    }
+
+    fn tell_entries(&mut self, entries: Vec<KnownEntry>) {
+        if entries == self.entries {
+            return;
+        }
+        self.entries = entries.clone();
+        self.tell_all(&EntryOrder::Entries(entries));
+    }
+
+    fn tell_document(&mut self, document: ConfigDocument) {
+        let known = self.document.as_ref().map_or(0, |known| known.version);
+        if document.version <= known {
+            return;
+        }
+        self.document = Some(document.clone());
+        self.tell_all(&EntryOrder::Document(document));
+    }
+
+    fn tell_all(&mut self, order: &EntryOrder) {
+        let linked = self.sides.values().filter_map(|side| side.session);
+        for session in linked.collect::<Vec<_>>() {
+            self.send(session, order.clone());
+        }
+    }
+
+    /// Jobs that are not answered.
+    pub fn open_jobs(&self) -> usize {
+        self.jobs.values().filter(|job| !job.is_over).count()
+    }
+
+    /// Jobs of a queue of which no task has begun.
+    pub fn pending(&self, queue: &str) -> usize {
+        let open = self.jobs.values().filter(|job| !job.is_over);
+        open.filter(|job| *job.policy.name == *queue && !job.may_have_begun())
+            .count()
+    }
+
+    /// Whether a side stands ready for any service.
+    pub fn has_ready_side(&self) -> bool {
+        self.sides.values().any(SideView::takes_work)
+    }
+
+    /// What it has done since its start.
+    pub fn counters(&self) -> &SchedulerCounters {
+        &self.counters
+    }
+
+    pub(super) fn send(&mut self, session: SessionId, order: EntryOrder) {
+        self.effects.push(SchedulerEffect::Send { session, order });
+    }
+
+    pub(super) fn decided(&mut self, decision: SchedulerDecision) {
+        self.effects.push(SchedulerEffect::Decided(decision));
+    }
+
+    /// The next moment at which time alone changes something.
+    pub fn next_tick(&self) -> Option<Moment> {
+        let terms = &self.settings.terms;
+        let deadline = self.deadlines.first().map(|(at, _)| *at);
+        let sides = self.sides.values().filter_map(|side| match side.session {
+            Some(_) => {
+                let beat = side.beat_sent + terms.heartbeat;
+                Some(beat.min(side.heard + terms.silence))
+            }
+            None if !side.runs.is_empty() => Some(side.heard + terms.run_over_after),
+            None => None,
+        });
+        deadline.into_iter().chain(sides).min()
+    }
+}
--- /dev/null
+++ b/crates/mastknot_core/src/scheduler/mod.rs
@@ -0,0 +1,28 @@
+//! The core of an entry that spreads the tasks of jobs over targets with room.
+//!
+//! - [`JobScheduler`]: `step(now, event) -> effects`
+//! - [`OrderKey`]: which waiting job is served first
+
+mod active_job;
+mod job_ends;
+mod job_scheduler;
+mod order_key;
+mod placing;
+mod scheduler_counters;
+mod scheduler_decision;
+mod scheduler_effect;
+mod scheduler_event;
+mod scheduler_settings;
+mod side_links;
+mod side_view;
+mod submitting;
+
+pub use job_scheduler::JobScheduler;
+pub use order_key::{OrderKey, Outlook};
+pub use scheduler_counters::SchedulerCounters;
+pub use scheduler_decision::SchedulerDecision;
+pub use scheduler_effect::SchedulerEffect;
+pub use scheduler_event::{CallerId, SchedulerEvent};
+pub use scheduler_settings::SchedulerSettings;
+
+pub use crate::agent::SessionId;
--- /dev/null
+++ b/crates/mastknot_core/src/scheduler/placing.rs
@@ -0,0 +1,189 @@
+//! Which waiting task goes to which side.
+
+use std::sync::Arc;
+
+use super::active_job::{ActiveJob, TaskState};
+use super::job_scheduler::JobScheduler;
+use super::side_view::SideView;
+use super::{Outlook, SchedulerDecision};
+use crate::job::{EntryOrder, JobId, RunId, StartOrder, TargetCondition};
+use crate::types::{Moment, NodeName};
+
+/// How many waiting jobs are looked at in one go.
+const MAX_SCANNED: usize = 32;
+/// After so many jobs that found no room the rest waits too.
+const MAX_MISSES: usize = 4;
+/// A target this much slower than the middle one, in percent, gets one run at a time.
+const SLOW_AGAINST_MEDIAN_PERCENT: u32 = 250;
+/// What a task pays for a side where it has failed before, in thousandths of a target.
+const AVOIDED_PENALTY: u32 = 4_000;
+/// What a task pays for a rack where its data does not lie.
+const FAR_PENALTY: u32 = 600;
+/// What a task pays for a target on probation.
+const PROBATION_PENALTY: u32 = 2_000;
+
+impl JobScheduler {
+    pub(super) fn place_waiting(&mut self, now: Moment) {
+        if self.waiting.is_empty() {
+            return;
+        }
+        self.refresh_outlooks(now);
+        let first = self.waiting.values().take(MAX_SCANNED).copied();
+        let first: Vec<JobId> = first.collect();
+        let median_pace = self.median_pace();
+        let mut misses = 0;
+        for id in first {
+            if !self.place_job(now, id, median_pace) {
+                misses += 1;
+            }
+            if misses >= MAX_MISSES {
+                return;
+            }
+        }
+    }
+
+    /// Jobs that can no longer be in time make way.
+    fn refresh_outlooks(&mut self, now: Moment) {
+        let stale = self.waiting.iter().take(MAX_SCANNED);
+        let stale =
+            stale.filter(|(key, _)| key.outlook != Outlook::Hopeless && key.latest_start < now);
+        let stale: Vec<JobId> = stale.map(|(_, id)| *id).collect();
+        for id in stale {
+            self.queue_job(now, id);
+        }
+    }
+
+    fn median_pace(&self) -> u32 {
+        let sides = self.sides.values().filter(|side| side.takes_work());
+        let mut paces: Vec<u32> = sides.map(|side| side.pace_percent).collect();
+        paces.sort_unstable();
+        paces.get(paces.len() / 2).copied().unwrap_or(100)
+    }
+
+    /// Places what it can of a job; returns whether nothing of it waits any more.
+    fn place_job(&mut self, now: Moment, id: JobId, median_pace: u32) -> bool {
+        let Some(job) = self.jobs.get(&id) else {
+            return true;
+        };
+        let waiting = job.waiting();
+        let mut all_placed = true;
+        for task in waiting {
+            let Some(job) = self.jobs.get(&id) else {
+                return true;
+            };
+            let Some(side) = self.pick_side(job, task, median_pace) else {
+                all_placed = false;
+                break;
+            };
+            self.start(now, id, task, &side);
+        }
+        self.queue_job(now, id);
+        all_placed
+    }
+
+    fn pick_side(&self, job: &ActiveJob, task: usize, median_pace: u32) -> Option<NodeName> {
+        let fitting = self.sides.iter().filter(|(name, side)| {
+            side.takes_work()
+                && is_suitable(job, task, side)
+                && !is_too_slow(side, median_pace)
+                && has_capacity_for_step(job, task, name)
+        });
+        let best = fitting.min_by_key(|(name, side)| score(job, task, name, side));
+        best.map(|(name, _)| name.clone())
+    }
+
+    fn start(&mut self, now: Moment, id: JobId, task: usize, side: &NodeName) {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        let Some(view) = self.sides.get_mut(side) else {
+            return;
+        };
+        let Some(session) = view.session else {
+            return;
+        };
+        let attempt = job.attempts.take();
+        let spec = job.step(task);
+        let room = spec.room;
+        let estimate_ms = spec.estimate.as_millis() as u32;
+        let run = RunId {
+            task: job.tasks[task].name,
+            attempt,
+        };
+        let placed = SchedulerDecision::Placed {
+            run,
+            request_id: Arc::clone(&job.request.request_id),
+            side: side.clone(),
+            free_cpu_millis: view.free().cpu_millis,
+            view_age_ms: now.since(view.heard).as_millis() as u64,
+            outlook: job.key.map_or(Outlook::InTime, |key| key.outlook),
+            waited_ms: now.since(job.arrived).as_millis() as u64,
+        };
+        view.note_start(run, id, room);
+        job.tasks[task].state = TaskState::Ordered {
+            side: side.clone(),
+            attempt,
+        };
+        job.first_start.get_or_insert(now);
+        job.starts += 1;
+        let order = StartOrder {
+            run,
+            payload: Arc::clone(&job.request.payload),
+            room,
+            estimate_ms,
+        };
+        self.counters.starts += 1;
+        self.send(session, EntryOrder::Start(order));
+        self.decided(placed);
+    }
+}
+
+fn is_suitable(job: &ActiveJob, task: usize, side: &SideView) -> bool {
+    let spec = job.step(task);
+    let Some(target) = &side.target else {
+        return false;
+    };
+    let has_label = spec
+        .required_label
+        .iter()
+        .all(|label| side.has_label(label));
+    *target.service == *job.policy.service && has_label && side.free().holds(&spec.room)
+}
+
+/// A slow target keeps one run, which shows when it is quick again.
+fn is_too_slow(side: &SideView, median_pace: u32) -> bool {
+    let limit = median_pace.max(50) * SLOW_AGAINST_MEDIAN_PERCENT / 100;
+    side.pace_percent > limit && !side.runs.is_empty()
+}
+
+fn has_capacity_for_step(job: &ActiveJob, task: usize, name: &NodeName) -> bool {
+    let most = usize::from(job.step(task).max_per_target);
+    if most == 0 {
+        return true;
+    }
+    let step = job.tasks[task].name.step;
+    let same_step = job.tasks.iter().filter(|other| other.name.step == step);
+    let held = same_step
+        .filter(|other| matches!(&other.state, TaskState::Ordered { side, .. } if side == name));
+    held.count() < most
+}
+
+/// What a side costs a task: how full it would be, and what speaks against it.
+fn score(job: &ActiveJob, task: usize, name: &NodeName, side: &SideView) -> u32 {
+    let spec = job.step(task);
+    let capacity = side.target.as_ref().map(|target| target.capacity);
+    let capacity = capacity.unwrap_or_default();
+    let used = capacity.without(&side.free()).with(&spec.room);
+    let mut score = used.permille_of(&capacity);
+    if job.tasks[task].avoided.contains(name) {
+        score += AVOIDED_PENALTY;
+    }
+    if side.condition == TargetCondition::Probation {
+        score += PROBATION_PENALTY;
+    }
+    let is_far = spec.preferred_rack.iter().any(|rack| !side.has_label(rack));
+    if is_far {
+        score += FAR_PENALTY;
+    }
+    score
+}
--- /dev/null
+++ b/crates/mastknot_core/src/scheduler/scheduler_counters.rs
@@ -0,0 +1,38 @@
+use serde::Serialize;
+
+/// What a [`JobScheduler`](super::JobScheduler) has done since its start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct SchedulerCounters {
+    /// Jobs taken.
+    pub jobs_taken: u64,
+    /// Jobs answered as completed.
+    pub jobs_completed: u64,
+    /// Jobs answered as failed.
+    pub jobs_failed: u64,
+    /// Jobs refused after they were taken, with nothing run.
+    pub jobs_refused: u64,
+    /// Jobs given up on after something may have run.
+    pub jobs_timed_out: u64,
+    /// Jobs whose caller left.
+    pub jobs_abandoned: u64,
+    /// Jobs that came again while an earlier copy was here.
+    pub jobs_rejoined: u64,
+    /// Starts ordered.
+    pub starts: u64,
+    /// Runs that did their work.
+    pub runs_done: u64,
+    /// Runs that failed.
+    pub runs_failed: u64,
+    /// Runs that stood still and were stopped.
+    pub runs_stalled: u64,
+    /// Runs lost with their target or its lease.
+    pub runs_lost: u64,
+    /// Runs stopped.
+    pub runs_stopped: u64,
+    /// Starts turned away for want of room.
+    pub starts_without_room: u64,
+    /// Starts turned away for any other reason.
+    pub starts_turned_away: u64,
+    /// Links to sides that were given up for silence.
+    pub links_silent: u64,
+}
--- /dev/null
+++ b/crates/mastknot_core/src/scheduler/scheduler_decision.rs
@@ -0,0 +1,110 @@
+use std::sync::Arc;
+
+use super::{CallerId, Outlook};
+use crate::job::{EndOfRun, JobAnswer, JobId, RunId};
+use crate::types::NodeName;
+
+/// One decision of an entry, for the logs.
+#[derive(Clone, Debug, PartialEq)]
+pub enum SchedulerDecision {
+    /// A job was taken.
+    Taken {
+        /// The job.
+        job: JobId,
+        /// The caller's name for the request.
+        request_id: Arc<str>,
+        /// Its queue.
+        queue: Arc<str>,
+        /// The configuration that it was taken under.
+        config_version: u64,
+        /// How many tasks it has.
+        tasks: usize,
+        /// The time to its objective, in milliseconds.
+        objective_ms: u64,
+        /// The jobs that waited.
+        waiting_jobs: usize,
+    },
+    /// A job came again while an earlier copy was here.
+    Rejoined {
+        /// The job.
+        job: JobId,
+        /// The caller's name for the new request.
+        request_id: Arc<str>,
+    },
+    /// A task was given to a side.
+    Placed {
+        /// The run.
+        run: RunId,
+        /// The caller's name for the request.
+        request_id: Arc<str>,
+        /// The side.
+        side: NodeName,
+        /// The free processor that the entry believed in, in thousandths of a core.
+        free_cpu_millis: u32,
+        /// The age of that belief, in milliseconds.
+        view_age_ms: u64,
+        /// What the job could still earn.
+        outlook: Outlook,
+        /// How long the job had been here, in milliseconds.
+        waited_ms: u64,
+    },
+    /// A run ended without having done its work.
+    RunEnded {
+        /// The run.
+        run: RunId,
+        /// The caller's name for the request.
+        request_id: Arc<str>,
+        /// The side.
+        side: NodeName,
+        /// How.
+        end: EndOfRun,
+        /// Failures of the task that count.
+        failures: u32,
+    },
+    /// A job was answered.
+    Answered {
+        /// The job.
+        job: JobId,
+        /// The caller's name for the request.
+        request_id: Arc<str>,
+        /// The answer.
+        answer: JobAnswer,
+        /// Since it was taken, in milliseconds.
+        after_ms: u64,
+        /// Until its first start, in milliseconds.
+        first_start_ms: Option<u64>,
+        /// Starts ordered for it.
+        starts: u64,
+        /// What it could still earn at the end.
+        in_time: bool,
+    },
+    /// A caller left before its answer.
+    Abandoned {
+        /// The job.
+        job: JobId,
+        /// The caller.
+        caller: CallerId,
+        /// Runs that are stopped.
+        runs: usize,
+    },
+    /// A side's link stands and its runs are settled.
+    SideJoined {
+        /// The side.
+        side: NodeName,
+        /// Runs of this entry that go on there.
+        kept: usize,
+        /// Runs of this entry that are over.
+        lost: usize,
+    },
+    /// A side's link is gone.
+    SideLeft {
+        /// The side.
+        side: NodeName,
+        /// Whether it was silent, in place of a broken connection.
+        was_silent: bool,
+        /// Since it was last heard, in milliseconds.
+        age_ms: u64,
+        /// Runs of this entry there.
+        runs: usize,
+    },
+}
--- /dev/null
+++ b/crates/mastknot_core/src/scheduler/scheduler_settings.rs
@@ -0,0 +1,35 @@
+use std::time::Duration;
+
+use crate::job::LeaseTerms;
+use crate::types::{Incarnation, NodeName};
+
+/// What a [`JobScheduler`](super::JobScheduler) is set up with.
+#[derive(Clone, Debug, PartialEq)]
+pub struct SchedulerSettings {
+    /// The entry's name.
+    pub entry: NodeName,
+    /// Its run.
+    pub incarnation: Incarnation,
+    /// The leases.
+    pub terms: LeaseTerms,
+    /// The part of a caller's time that is kept for the way back.
+    pub answer_margin: Duration,
+    /// A job is late until this many times its objective.
+    pub late_factor: u32,
+    /// When a refused caller is told to come back.
+    pub retry_after: Duration,
+}
+
+impl SchedulerSettings {
+    /// The usual settings for an entry.
+    pub fn new(entry: NodeName, incarnation: Incarnation) -> Self {
+        Self {
+            entry,
+            incarnation,
+            terms: LeaseTerms::default(),
+            answer_margin: Duration::from_millis(25),
+            late_factor: 3,
+            retry_after: Duration::from_secs(1),
+        }
+    }
+}
--- /dev/null
+++ b/crates/mastknot_core/src/scheduler/side_links.rs
@@ -0,0 +1,220 @@
+//! Links to sides: greeting, resuming, heartbeats, silence.
+
+use std::collections::{HashMap, HashSet};
+
+use super::job_scheduler::JobScheduler;
+use super::side_view::SideView;
+use super::{SchedulerDecision, SchedulerEffect, SessionId};
+use crate::job::{
+    AdoptedRun, EndOfRun, EndedRun, EntryOrder, EntryWelcome, RunId, SideHello, SideReport,
+    SideStatus,
+};
+use crate::types::{Moment, NodeName};
+
+impl JobScheduler {
+    pub(super) fn handle_report(&mut self, now: Moment, session: SessionId, report: SideReport) {
+        if let SideReport::Hello(hello) = report {
+            self.greet(now, session, hello);
+            return;
+        }
+        let Some(name) = self.sessions.get(&session).cloned() else {
+            return;
+        };
+        if let Some(view) = self.sides.get_mut(&name) {
+            view.heard = now;
+        }
+        match report {
+            SideReport::Hello(_) => {}
+            SideReport::Resume { running, ended } => self.resume(now, &name, running, ended),
+            SideReport::Status(status) => self.take_status(now, &name, status),
+            SideReport::Leaving => {
+                if let Some(view) = self.sides.get_mut(&name) {
+                    view.is_leaving = true;
+                }
+            }
+        }
+    }
+
+    fn greet(&mut self, now: Moment, session: SessionId, hello: SideHello) {
+        let name = hello.side.clone();
+        let fresh = SideView::new(now, hello.incarnation, hello.hall.clone());
+        let view = self.sides.entry(name.clone()).or_insert(fresh);
+        let replaced = view.session.take();
+        view.incarnation = hello.incarnation;
+        view.hall = hello.hall.clone();
+        view.take_session(now, session);
+        let remembered_target = view.target.clone();
+        if let Some(replaced) = replaced {
+            self.sessions.remove(&replaced);
+            self.effects
+                .push(SchedulerEffect::Close { session: replaced });
+        }
+        self.sessions.insert(session, name);
+        let welcome = EntryWelcome {
+            entry: self.settings.entry.clone(),
+            incarnation: self.settings.incarnation,
+            remembered_target,
+            entries: self.entries.clone(),
+            document: self.document.clone(),
+        };
+        self.send(session, EntryOrder::Welcome(welcome));
+        self.hear_document(hello);
+    }
+
+    fn hear_document(&mut self, hello: SideHello) {
+        let known = self.document.as_ref().map_or(0, |known| known.version);
+        if let Some(document) = hello.document
+            && document.version > known
+        {
+            self.effects.push(SchedulerEffect::Document(document));
+        }
+    }
+
+    /// Settles the runs of an earlier link: kept, ended, or lost.
+    fn resume(&mut self, now: Moment, name: &NodeName, running: Vec<RunId>, ended: Vec<EndedRun>) {
+        let running: HashSet<RunId> = running.into_iter().collect();
+        let ended: HashMap<RunId, EndedRun> = ended.into_iter().map(|end| (end.run, end)).collect();
+        let Some(view) = self.sides.get_mut(name) else {
+            return;
+        };
+        view.is_resumed = true;
+        let session = view.session;
+        let held: Vec<RunId> = view.runs.keys().copied().collect();
+        let mut adopted = Vec::new();
+        let mut lost = 0;
+        for run in held {
+            if let Some(end) = ended.get(&run) {
+                self.run_over(now, name, end);
+            } else if running.contains(&run) {
+                adopted.extend(self.adoption(name, run));
+            } else {
+                lost += 1;
+                self.run_over(now, name, &lost_run(run));
+            }
+        }
+        let kept = adopted.len();
+        if let Some(session) = session
+            && kept > 0
+        {
+            self.send(session, EntryOrder::Adopt(adopted.clone()));
+            self.stop_unwanted(session, &adopted);
+        }
+        let side = name.clone();
+        self.decided(SchedulerDecision::SideJoined { side, kept, lost });
+    }
+
+    fn adoption(&self, side: &NodeName, run: RunId) -> Option<AdoptedRun> {
+        let id = self.sides.get(side)?.runs.get(&run)?;
+        let job = self.jobs.get(id)?;
+        let spec = job.request.steps.get(usize::from(run.task.step))?;
+        Some(AdoptedRun {
+            run,
+            room: spec.room,
+            estimate_ms: spec.estimate.as_millis() as u32,
+        })
+    }
+
+    /// Orders to stop that the earlier link may have lost.
+    fn stop_unwanted(&mut self, session: SessionId, adopted: &[AdoptedRun]) {
+        for run in adopted {
+            let job = self.jobs.get(&run.run.task.job);
+            if job.is_none_or(|job| job.is_over) {
+                self.send(session, EntryOrder::Stop(run.run));
+            }
+        }
+    }
+
+    fn take_status(&mut self, now: Moment, name: &NodeName, status: SideStatus) {
+        if let Some(view) = self.sides.get_mut(name) {
+            view.take_status(&status);
+        }
+        for ended in &status.ended {
+            self.run_over(now, name, ended);
+        }
+    }
+
+    pub(super) fn link_down(&mut self, now: Moment, session: SessionId) {
+        self.drop_link(now, session, false);
+    }
+
+    fn drop_link(&mut self, now: Moment, session: SessionId, was_silent: bool) {
+        let Some(name) = self.sessions.remove(&session) else {
+            return;
+        };
+        let Some(view) = self.sides.get_mut(&name) else {
+            return;
+        };
+        if view.session != Some(session) {
+            return;
+        }
+        view.session = None;
+        view.is_resumed = false;
+        let age_ms = now.since(view.heard).as_millis() as u64;
+        let runs = view.runs.len();
+        self.decided(SchedulerDecision::SideLeft {
+            side: name,
+            was_silent,
+            age_ms,
+            runs,
+        });
+    }
+
+    /// Gives up links on which nothing was heard.
+    pub(super) fn end_silent_links(&mut self, now: Moment) {
+        let limit = self.settings.terms.silence;
+        let linked = self.sides.values();
+        let silent = linked.filter(|side| now.since(side.heard) > limit);
+        let silent: Vec<SessionId> = silent.filter_map(|side| side.session).collect();
+        for session in silent {
+            self.counters.links_silent += 1;
+            self.effects.push(SchedulerEffect::Close { session });
+            self.drop_link(now, session, true);
+        }
+    }
+
+    /// Runs of a side that has been silent for longer than any lease are over.
+    pub(super) fn end_lost_runs(&mut self, now: Moment) {
+        let limit = self.settings.terms.run_over_after;
+        let is_over = |side: &SideView| side.session.is_none() && now.since(side.heard) > limit;
+        let over = self.sides.iter().filter(|(_, side)| is_over(side));
+        let over: Vec<(NodeName, Vec<RunId>)> = over
+            .filter(|(_, side)| !side.runs.is_empty())
+            .map(|(name, side)| (name.clone(), side.runs.keys().copied().collect()))
+            .collect();
+        for (name, runs) in over {
+            for run in runs {
+                self.run_over(now, &name, &lost_run(run));
+            }
+        }
+    }
+
+    /// Sends heartbeats that are due, and tells at once when tasks begin to wait.
+    pub(super) fn beat(&mut self, now: Moment) {
+        let has_waiting = !self.waiting.is_empty();
+        let is_news = has_waiting && !self.has_told_waiting;
+        self.has_told_waiting = has_waiting;
+        let every = self.settings.terms.heartbeat;
+        let mut beats = Vec::new();
+        for side in self.sides.values_mut() {
+            let Some(session) = side.session else {
+                continue;
+            };
+            if now.since(side.beat_sent) < every && !is_news {
+                continue;
+            }
+            side.beat_sent = now;
+            beats.push((session, side.heard_number));
+        }
+        for (session, heard) in beats {
+            self.send(session, EntryOrder::Heartbeat { heard, has_waiting });
+        }
+    }
+}
+
+fn lost_run(run: RunId) -> EndedRun {
+    EndedRun {
+        run,
+        end: EndOfRun::Lost,
+        ran_ms: 0,
+    }
+}
--- /dev/null
+++ b/crates/mastknot_core/src/scheduler/side_view.rs
@@ -0,0 +1,119 @@
+use std::collections::VecDeque;
+
+use indexmap::IndexMap;
+
+use super::SessionId;
+use crate::job::{JobId, Room, RunId, SideStatus, TargetCondition, TargetProfile};
+use crate::types::{Hall, Incarnation, Moment};
+
+/// A start that the side's last report did not include.
+#[derive(Clone, Copy, Debug)]
+struct UnseenStart {
+    number: u64,
+    room: Room,
+}
+
+/// What an entry knows of a side.
+#[derive(Clone, Debug)]
+pub(crate) struct SideView {
+    pub(crate) session: Option<SessionId>,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) hall: Hall,
+    pub(crate) is_resumed: bool,
+    pub(crate) is_leaving: bool,
+    pub(crate) heard: Moment,
+    pub(crate) heard_number: u64,
+    pub(crate) beat_sent: Moment,
+    pub(crate) target: Option<TargetProfile>,
+    pub(crate) condition: TargetCondition,
+    pub(crate) pace_percent: u32,
+    /// The runs ordered here that are not known to be over.
+    pub(crate) runs: IndexMap<RunId, JobId>,
+    free: Room,
+    starts: u64,
+    unseen: VecDeque<UnseenStart>,
+}
+
+impl SideView {
+    pub(crate) fn new(now: Moment, incarnation: Incarnation, hall: Hall) -> Self {
+        Self {
+            session: None,
+            incarnation,
+            hall,
+            is_resumed: false,
+            is_leaving: false,
+            heard: now,
+            heard_number: 0,
+            beat_sent: Moment::default(),
+            target: None,
+            condition: TargetCondition::Absent,
+            pace_percent: 100,
+            runs: IndexMap::new(),
+            free: Room::default(),
+            starts: 0,
+            unseen: VecDeque::new(),
+        }
+    }
+
+    /// Takes a new link; nothing is known of the room until its first report.
+    pub(crate) fn take_session(&mut self, now: Moment, session: SessionId) {
+        self.session = Some(session);
+        self.is_resumed = false;
+        self.is_leaving = false;
+        self.heard = now;
+        self.heard_number = 0;
+        self.beat_sent = Moment::default();
+        self.condition = TargetCondition::Absent;
+        self.free = Room::default();
+        self.starts = 0;
+        self.unseen.clear();
+    }
+
+    pub(crate) fn take_status(&mut self, status: &SideStatus) {
+        self.heard_number = self.heard_number.max(status.number);
+        self.free = status.free;
+        self.condition = status.condition;
+        self.pace_percent = status.pace_percent;
+        if let Some(target) = &status.target {
+            self.target = Some(target.clone());
+        }
+        let included = status.starts_included;
+        while self
+            .unseen
+            .front()
+            .is_some_and(|start| start.number <= included)
+        {
+            self.unseen.pop_front();
+        }
+    }
+
+    /// Notes a start; returns nothing, the report that includes it will say what is left.
+    pub(crate) fn note_start(&mut self, run: RunId, job: JobId, room: Room) {
+        self.starts += 1;
+        let number = self.starts;
+        self.unseen.push_back(UnseenStart { number, room });
+        self.runs.insert(run, job);
+    }
+
+    /// The room that is believed to be free.
+    pub(crate) fn free(&self) -> Room {
+        let unseen = self.unseen.iter();
+        unseen.fold(self.free, |free, start| free.without(&start.room))
+    }
+
+    /// Whether work may be given to it now.
+    pub(crate) fn takes_work(&self) -> bool {
+        let is_linked = self.session.is_some() && self.is_resumed && !self.is_leaving;
+        let takes = matches!(
+            self.condition,
+            TargetCondition::Ready | TargetCondition::Probation
+        );
+        is_linked && takes
+    }
+
+    /// Whether its target has a label.
+    pub(crate) fn has_label(&self, label: &str) -> bool {
+        let labels = self.target.iter().flat_map(|target| &target.labels);
+        labels.into_iter().any(|own| **own == *label)
+    }
+}
--- /dev/null
+++ b/crates/mastknot_core/src/scheduler/submitting.rs
@@ -0,0 +1,204 @@
+//! Taking jobs, and giving them up.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::active_job::ActiveJob;
+use super::job_scheduler::JobScheduler;
+use super::order_key::JobTimes;
+use super::{CallerId, SchedulerDecision, SchedulerEffect};
+use crate::job::{AttemptNumbers, JobAnswer, JobId, JobRequest, QueuePolicy};
+use crate::types::{Moment, WallTime};
+
+impl JobScheduler {
+    pub(super) fn submit(
+        &mut self,
+        now: Moment,
+        caller: CallerId,
+        request: JobRequest,
+        policy: Arc<QueuePolicy>,
+        time_left: Duration,
+        wall: WallTime,
+    ) {
+        let id = request.id;
+        self.callers.insert(caller, id);
+        let deadline = now + time_left.saturating_sub(self.settings.answer_margin);
+        if self.jobs.contains_key(&id) {
+            self.rejoin(now, caller, id, deadline, &request);
+            return;
+        }
+        self.counters.jobs_taken += 1;
+        self.next_sequence += 1;
+        let mut job = ActiveJob {
+            tasks: ActiveJob::tasks_of(&request),
+            request,
+            policy,
+            callers: vec![caller],
+            sequence: self.next_sequence,
+            arrived: now,
+            deadline,
+            times: JobTimes {
+                objective: now,
+                late: now,
+            },
+            attempts: AttemptNumbers::starting_at(wall),
+            first_start: None,
+            starts: 0,
+            not_begun: 0,
+            is_over: false,
+            key: None,
+        };
+        job.unblock();
+        self.set_times(now, &mut job);
+        let objective = job.times.objective.since(now);
+        let taken = SchedulerDecision::Taken {
+            job: id,
+            request_id: Arc::clone(&job.request.request_id),
+            queue: Arc::clone(&job.policy.name),
+            config_version: job.policy.version,
+            tasks: job.tasks.len(),
+            objective_ms: objective.as_millis() as u64,
+            waiting_jobs: self.waiting.len(),
+        };
+        self.deadlines.insert((deadline, id));
+        self.jobs.insert(id, job);
+        self.decided(taken);
+        self.queue_job(now, id);
+    }
+
+    fn set_times(&self, now: Moment, job: &mut ActiveJob) {
+        let chain = job.remaining_chain();
+        let span = chain.mul_f64(job.policy.stretch) + job.policy.allowance;
+        job.times = JobTimes {
+            objective: now + span,
+            late: now + span * self.settings.late_factor,
+        };
+    }
+
+    /// The same job came again: both copies are one.
+    fn rejoin(
+        &mut self,
+        now: Moment,
+        caller: CallerId,
+        id: JobId,
+        deadline: Moment,
+        request: &JobRequest,
+    ) {
+        self.counters.jobs_rejoined += 1;
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        self.deadlines.remove(&(job.deadline, id));
+        job.deadline = deadline;
+        job.callers.push(caller);
+        job.request.request_id = Arc::clone(&request.request_id);
+        if job.is_over {
+            job.is_over = false;
+            job.arrived = now;
+            job.first_start = None;
+            job.tasks.iter_mut().for_each(|task| task.failures = 0);
+        }
+        self.deadlines.insert((deadline, id));
+        self.decided(SchedulerDecision::Rejoined {
+            job: id,
+            request_id: Arc::clone(&request.request_id),
+        });
+        self.queue_job(now, id);
+        self.finish_if_done(now, id);
+    }
+
+    /// Gives a job its place among the waiting ones, or takes it away.
+    pub(super) fn queue_job(&mut self, now: Moment, id: JobId) {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        if let Some(key) = job.key.take() {
+            self.waiting.remove(&key);
+        }
+        if job.has_waiting() {
+            let key = job.times.key(now, job.remaining_chain(), job.sequence);
+            job.key = Some(key);
+            self.waiting.insert(key, id);
+        }
+    }
+
+    /// Answers jobs whose callers stop waiting.
+    pub(super) fn expire_jobs(&mut self, now: Moment) {
+        while let Some((at, id)) = self.deadlines.first().copied() {
+            if at > now {
+                return;
+            }
+            self.deadlines.pop_first();
+            let Some(job) = self.jobs.get(&id) else {
+                continue;
+            };
+            let answer = match job.may_have_begun() {
+                true => JobAnswer::TimedOut,
+                false => JobAnswer::Refused {
+                    retry_after: self.settings.retry_after,
+                },
+            };
+            self.answer(now, id, answer);
+        }
+    }
+
+    pub(super) fn abandon(&mut self, now: Moment, caller: CallerId) {
+        let Some(id) = self.callers.remove(&caller) else {
+            return;
+        };
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        job.callers.retain(|other| *other != caller);
+        if !job.callers.is_empty() || job.is_over {
+            return;
+        }
+        let runs = job.ordered();
+        self.counters.jobs_abandoned += 1;
+        self.decided(SchedulerDecision::Abandoned {
+            job: id,
+            caller,
+            runs,
+        });
+        self.end_job(now, id);
+    }
+
+    pub(super) fn cancel(&mut self, now: Moment, id: JobId) {
+        if self.jobs.get(&id).is_some_and(|job| !job.is_over) {
+            self.answer(now, id, JobAnswer::Failed);
+        }
+    }
+
+    /// Answers all callers of a job and ends it.
+    pub(super) fn answer(&mut self, now: Moment, id: JobId, answer: JobAnswer) {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        if job.is_over {
+            return;
+        }
+        let first_start = job.first_start.map(|at| at.since(job.arrived));
+        let answered = SchedulerDecision::Answered {
+            job: id,
+            request_id: Arc::clone(&job.request.request_id),
+            answer,
+            after_ms: now.since(job.arrived).as_millis() as u64,
+            first_start_ms: first_start.map(|time| time.as_millis() as u64),
+            starts: job.starts,
+            in_time: now <= job.times.objective,
+        };
+        for caller in std::mem::take(&mut job.callers) {
+            self.callers.remove(&caller);
+            self.effects
+                .push(SchedulerEffect::Answer { caller, answer });
+        }
+        match answer {
+            JobAnswer::Completed => self.counters.jobs_completed += 1,
+            JobAnswer::Failed => self.counters.jobs_failed += 1,
+            JobAnswer::Refused { .. } => self.counters.jobs_refused += 1,
+            JobAnswer::TimedOut => self.counters.jobs_timed_out += 1,
+        }
+        self.decided(answered);
+        self.end_job(now, id);
+    }
+}
--- /dev/null
+++ b/crates/mastknot_entry/src/jobs/job_logs.rs
@@ -0,0 +1,64 @@
+//! One log line for each decision of an entry.
+
+use log::{info, warn};
+use mastknot_core::scheduler::SchedulerDecision;
+
+/// The target of decision lines, by which they can be filtered.
+const DECISION: &str = "decision";
+
+pub(super) fn log_decision(decision: &SchedulerDecision) {
+    match decision {
+        SchedulerDecision::Taken {
+            job,
+            request_id,
+            queue,
+            config_version,
+            tasks,
+            objective_ms,
+            waiting_jobs,
+        } => info!(target: DECISION, job:%, request_id:%, queue:%, config_version, tasks,
+            objective_ms, waiting_jobs; "job_taken"),
+        SchedulerDecision::Rejoined { job, request_id } => {
+            info!(target: DECISION, job:%, request_id:%; "job_rejoined");
+        }
+        SchedulerDecision::Placed {
+            run,
+            request_id,
+            side,
+            free_cpu_millis,
+            view_age_ms,
+            outlook,
+            waited_ms,
+        } => info!(target: DECISION, run:%, request_id:%, side:%, free_cpu_millis, view_age_ms,
+            outlook:?, waited_ms; "task_placed"),
+        SchedulerDecision::RunEnded {
+            run,
+            request_id,
+            side,
+            end,
+            failures,
+        } => info!(target: DECISION, run:%, request_id:%, side:%, end:?, failures; "run_ended"),
+        SchedulerDecision::Answered {
+            job,
+            request_id,
+            answer,
+            after_ms,
+            first_start_ms,
+            starts,
+            in_time,
+        } => info!(target: DECISION, job:%, request_id:%, answer:?, after_ms, first_start_ms:?,
+            starts, in_time; "job_answered"),
+        SchedulerDecision::Abandoned { job, caller, runs } => {
+            info!(target: DECISION, job:%, caller = caller.0, runs; "job_abandoned");
+        }
+        SchedulerDecision::SideJoined { side, kept, lost } => {
+            info!(target: DECISION, side:%, kept, lost; "side_joined");
+        }
+        SchedulerDecision::SideLeft {
+            side,
+            was_silent,
+            age_ms,
+            runs,
+        } => warn!(target: DECISION, side:%, was_silent, age_ms, runs; "side_left"),
+    }
+}
--- /dev/null
+++ b/crates/mastknot_entry/src/jobs/job_node.rs
@@ -0,0 +1,158 @@
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use kameo::actor::{ActorRef, Spawn};
+use mastknot_core::job::{ConfigDocument, JobAnswer, JobId, JobRequest, KnownEntry, QueuePolicy};
+use mastknot_core::scheduler::{CallerId, JobScheduler, SchedulerEvent, SchedulerSettings};
+use mastknot_runtime::Clock;
+use mastknot_wire::LinkStats;
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, oneshot, watch};
+
+use super::job_actor::{
+    GetJobReport, GetPending, JobActor, JobActorParts, JobInput, JobReport, JobSubmit,
+};
+use super::job_links::listen;
+
+/// What a [`JobNode`] is made of.
+pub struct JobParts {
+    /// How its core is set up.
+    pub settings: SchedulerSettings,
+    /// The process's clock.
+    pub clock: Clock,
+    /// Where sides dial it.
+    pub links: TcpListener,
+    /// Takes configurations that sides have heard of.
+    pub documents: mpsc::UnboundedSender<ConfigDocument>,
+}
+
+/// A job that a caller hands in.
+#[derive(Clone, Debug)]
+pub struct Submission {
+    /// The job.
+    pub job: JobRequest,
+    /// What the configuration says of its queue.
+    pub policy: Arc<QueuePolicy>,
+    /// How long the caller waits.
+    pub time_left: Duration,
+}
+
+/// A running entry that spreads the tasks of jobs.
+#[derive(Clone)]
+pub struct JobNode {
+    actor: ActorRef<JobActor>,
+    clock: Clock,
+    stats: Arc<LinkStats>,
+    has_side: watch::Receiver<bool>,
+    next_caller: Arc<AtomicU64>,
+}
+
+/// Tells the scheduler when a caller leaves before its answer.
+struct CallerGuard {
+    actor: ActorRef<JobActor>,
+    caller: Option<CallerId>,
+}
+
+impl Drop for CallerGuard {
+    fn drop(&mut self) {
+        if let Some(caller) = self.caller {
+            let abandon = JobInput(SchedulerEvent::Abandon { caller });
+            let _ = self.actor.tell(abandon).try_send();
+        }
+    }
+}
+
+impl JobNode {
+    /// Starts it.
+    pub fn start(parts: JobParts) -> Self {
+        let stats: Arc<LinkStats> = Arc::default();
+        let (has_side_sender, has_side) = watch::channel(false);
+        let actor_parts = JobActorParts {
+            core: JobScheduler::new(parts.settings),
+            clock: parts.clock,
+            documents: parts.documents,
+            has_side: has_side_sender,
+        };
+        let actor = JobActor::spawn_with_mailbox(actor_parts, kameo::mailbox::unbounded());
+        tokio::spawn(listen(parts.links, actor.clone(), Arc::clone(&stats)));
+        Self {
+            actor,
+            clock: parts.clock,
+            stats,
+            has_side,
+            next_caller: Arc::new(AtomicU64::new(1)),
+        }
+    }
+
+    /// Runs a job; dropping the future gives the job up. None when the entry is ending.
+    pub async fn submit(&self, submission: Submission) -> Option<JobAnswer> {
+        let caller = CallerId(self.next_caller.fetch_add(1, Ordering::Relaxed));
+        let event = SchedulerEvent::Submit {
+            caller,
+            job: submission.job,
+            policy: submission.policy,
+            time_left: submission.time_left,
+            wall: self.clock.now().wall,
+        };
+        let (answer, answered) = oneshot::channel();
+        let submit = JobSubmit {
+            caller,
+            event,
+            answer,
+        };
+        self.actor.tell(submit).await.ok()?;
+        let mut guard = CallerGuard {
+            actor: self.actor.clone(),
+            caller: Some(caller),
+        };
+        let answer = answered.await.ok();
+        guard.caller = None;
+        answer
+    }
+
+    /// Cancels a job.
+    pub async fn cancel(&self, job: JobId) {
+        let _ = self
+            .actor
+            .tell(JobInput(SchedulerEvent::Cancel { job }))
+            .await;
+    }
+
+    /// The entries that are known have changed.
+    pub async fn set_entries(&self, entries: Vec<KnownEntry>) {
+        let _ = self
+            .actor
+            .tell(JobInput(SchedulerEvent::Entries(entries)))
+            .await;
+    }
+
+    /// A newer configuration is in force here; sides are told.
+    pub async fn set_document(&self, document: ConfigDocument) {
+        let event = SchedulerEvent::Document(document);
+        let _ = self.actor.tell(JobInput(event)).await;
+    }
+
+    /// Jobs of a queue of which nothing has begun.
+    pub async fn pending(&self, queue: &str) -> usize {
+        self.actor
+            .ask(GetPending(queue.to_owned()))
+            .await
+            .unwrap_or(0)
+    }
+
+    /// What operators may read.
+    pub async fn report(&self) -> Option<JobReport> {
+        self.actor.ask(GetJobReport).await.ok()
+    }
+
+    /// Whether a side stands ready for any service.
+    pub fn has_side(&self) -> bool {
+        *self.has_side.borrow()
+    }
+
+    /// What went over its links.
+    pub fn stats(&self) -> &LinkStats {
+        &self.stats
+    }
+}
--- /dev/null
+++ b/crates/mastknot_entry/src/jobs/mod.rs
@@ -0,0 +1,9 @@
+//! The shell of an entry that spreads the tasks of jobs: links to sides, timers, callers.
+
+mod job_actor;
+mod job_links;
+mod job_logs;
+mod job_node;
+
+pub use job_actor::JobReport;
+pub use job_node::{JobNode, JobParts, Submission};
--- a/crates/mastknot_entry/src/lib.rs
+++ b/crates/mastknot_entry/src/lib.rs
@@ -4,11 +4,13 @@
 
 mod actor;
 mod callers;
+mod jobs;
 mod node;
 mod operators;
 mod peers;
 mod platform;
 mod settings;
 
+pub use jobs::{JobNode, JobParts, JobReport, Submission};
 pub use node::{EntryNode, StopReport};
 pub use settings::EntryFile;
--- a/crates/mastknot_entry/src/peers/listening.rs
+++ b/crates/mastknot_entry/src/peers/listening.rs
@@ -44,5 +44,7 @@
     match accept(stream, stats).await? {
         Accepted::Side(link) => serve_side(actor, link).await,
         Accepted::Peer(link) => serve_peer(actor, link).await,
+        // This entry runs whole submissions on slots; it has no sized tasks.
+        Accepted::Agent(_) => Ok(()),
     }
 }
--- a/crates/mastknot_runtime/src/http/body.rs
+++ b/crates/mastknot_runtime/src/http/body.rs
@@ -81,6 +81,14 @@
     response
 }
 
+/// A response with a text body.
+pub fn text_response(text: String) -> Response<ResponseBody> {
+    let mut response = Response::new(Full::new(Bytes::from(text)).boxed_unsync());
+    let plain = header::HeaderValue::from_static("text/plain; charset=utf-8");
+    response.headers_mut().insert(header::CONTENT_TYPE, plain);
+    response
+}
+
 /// A response without a body.
 pub fn empty_response(status: StatusCode) -> Response<ResponseBody> {
     let mut response = Response::new(Full::new(Bytes::new()).boxed_unsync());
--- a/crates/mastknot_runtime/src/http/mod.rs
+++ b/crates/mastknot_runtime/src/http/mod.rs
@@ -6,6 +6,7 @@
 
 pub use body::{
     BodyError, ResponseBody, empty_response, json_response, read_body, stream_response,
+    text_response,
 };
 pub use client::{HttpClient, plain_client};
 pub use server::{HttpServer, RequestParts};
--- a/crates/mastknot_runtime/src/lib.rs
+++ b/crates/mastknot_runtime/src/lib.rs
@@ -8,6 +8,7 @@
 mod logs;
 mod metrics;
 mod settings;
+mod shared_store;
 mod signals;
 mod store;
 mod ticker;
@@ -16,14 +17,18 @@
 pub use error::{NodeError, node_context};
 pub use http::{
     BodyError, HttpServer, ResponseBody, empty_response, json_response, plain_client, read_body,
-    stream_response,
+    stream_response, text_response,
 };
 pub use http::{HttpClient, RequestParts};
-pub use logs::{LogFormat, LogSettings, start_logs};
+pub use logs::{LogFormat, LogSettings, start_bounded_logs, start_logs};
 pub use metrics::{MetricsExporter, flatten_counters};
 pub use settings::{
     CheckSettings, SettingsError, check_address, check_range, check_text, load_settings,
 };
+pub use shared_store::{
+    ConfigFeedSettings, Directory, DirectorySettings, SharedChanges, SharedItem, SharedLease,
+    SharedList, SharedStore, SharedStoreError, feed_config, keep_directory,
+};
 pub use signals::{Signals, StopSignal};
 pub use store::{
     StoreCalls, StoreClient, StoreError, StoreReason, StoreWatch, StoredValue, SwapResult,
--- a/crates/mastknot_runtime/src/logs/mod.rs
+++ b/crates/mastknot_runtime/src/logs/mod.rs
@@ -1,10 +1,14 @@
-//! Structured logs on standard error.
+//! Structured logs on standard error, or bounded on standard output.
+
+mod bounded_stdout;
 
 use logforth::append::Stderr;
 use logforth::filter::rustlog::RustLogFilterBuilder;
 use logforth::layout::{JsonLayout, TextLayout};
 use serde::Deserialize;
 
+use bounded_stdout::BoundedStdout;
+
 use crate::settings::{CheckSettings, SettingsError, check_text};
 
 /// The levels that a log setting may name.
@@ -63,3 +67,17 @@
     // An embedding program may have its own logger already.
     let _ = starter.try_apply();
 }
+
+/// Starts logging to standard output, one JSON object a line.
+///
+/// Lines wait in a bounded buffer that a thread of its own writes out; what does not fit is dropped
+/// and counted, so that a slow reader never holds up the process.
+pub fn start_bounded_logs(level: &str) {
+    let filter = RustLogFilterBuilder::from_spec(level).build();
+    let starter = logforth::starter_log::builder();
+    let starter = starter.dispatch(|dispatch| {
+        let stdout = BoundedStdout::start(JsonLayout::default());
+        dispatch.filter(filter).append(stdout)
+    });
+    let _ = starter.try_apply();
+}
--- /dev/null
+++ b/crates/mastknot_runtime/src/shared_store/mod.rs
@@ -0,0 +1,63 @@
+//! The platform's key-value service as the product sees it; adapters implement it.
+
+mod config_feed;
+mod entry_directory;
+mod shared_item;
+mod shared_store_error;
+
+pub use config_feed::{ConfigFeedSettings, feed_config};
+pub use entry_directory::{Directory, DirectorySettings, keep_directory};
+pub use shared_item::{SharedChanges, SharedItem, SharedLease, SharedList};
+pub use shared_store_error::SharedStoreError;
+
+use std::future::Future;
+use std::time::Duration;
+
+/// A key-value service with revisions, leases and watches.
+pub trait SharedStore: Clone + Send + Sync + 'static {
+    /// One key's newest value.
+    fn read(
+        &self,
+        key: &str,
+    ) -> impl Future<Output = Result<Option<SharedItem>, SharedStoreError>> + Send;
+
+    /// All keys with a prefix.
+    fn list(
+        &self,
+        prefix: &str,
+    ) -> impl Future<Output = Result<SharedList, SharedStoreError>> + Send;
+
+    /// The changes of keys with a prefix after a revision; waits for the first one.
+    fn watch(
+        &self,
+        prefix: &str,
+        after: u64,
+        wait: Duration,
+    ) -> impl Future<Output = Result<SharedChanges, SharedStoreError>> + Send;
+
+    /// A new lease.
+    fn grant(
+        &self,
+        time: Duration,
+    ) -> impl Future<Output = Result<SharedLease, SharedStoreError>> + Send;
+
+    /// Renews a lease; false if it is over.
+    fn renew(
+        &self,
+        lease: SharedLease,
+    ) -> impl Future<Output = Result<bool, SharedStoreError>> + Send;
+
+    /// Ends a lease and removes its keys.
+    fn revoke(
+        &self,
+        lease: SharedLease,
+    ) -> impl Future<Output = Result<(), SharedStoreError>> + Send;
+
+    /// Writes a key that goes with a lease; false if the lease is over.
+    fn write_leased(
+        &self,
+        key: &str,
+        value: &[u8],
+        lease: SharedLease,
+    ) -> impl Future<Output = Result<bool, SharedStoreError>> + Send;
+}
--- /dev/null
+++ b/crates/mastknot_side/src/agent/agent_dialing.rs
@@ -0,0 +1,82 @@
+//! Dialing entries for as long as they are known.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use kameo::actor::ActorRef;
+use log::debug;
+use mastknot_core::agent::SessionId;
+use mastknot_core::job::{EntryOrder, SideReport};
+use mastknot_wire::{Link, LinkError, LinkKind, LinkStats, connect};
+use rand::RngExt;
+use tokio::sync::watch;
+
+use super::TargetPort;
+use super::agent_actor::{AgentActor, AgentLinkDown, AgentLinkUp, AgentOrders};
+
+/// The longest that dialing may take.
+const DIAL_LIMIT: Duration = Duration::from_millis(600);
+/// The first pause between two dials.
+const FIRST_PAUSE: Duration = Duration::from_millis(20);
+/// The longest pause between two dials.
+const LONGEST_PAUSE: Duration = Duration::from_millis(500);
+
+static NEXT_SESSION: AtomicU64 = AtomicU64::new(1);
+
+/// Keeps a link to an entry for as long as it is known; a link that stands is kept until it ends.
+pub(super) async fn keep_dialing<P: TargetPort>(
+    actor: ActorRef<AgentActor<P>>,
+    address: SocketAddr,
+    stats: Arc<LinkStats>,
+    is_known: watch::Receiver<bool>,
+) {
+    let mut pause = FIRST_PAUSE;
+    while actor.is_alive() && *is_known.borrow() {
+        let dialed = connect(address, LinkKind::Agent, DIAL_LIMIT, Arc::clone(&stats)).await;
+        let ended = match dialed {
+            Ok(link) => {
+                pause = FIRST_PAUSE;
+                serve(&actor, link).await
+            }
+            Err(error) => Err(error),
+        };
+        if let Err(error) = ended {
+            debug!(entry:% = address; "link ended: {error}");
+        }
+        let jittered = pause.mul_f64(rand::rng().random_range(0.5..1.5));
+        tokio::time::sleep(jittered).await;
+        pause = (pause * 2).min(LONGEST_PAUSE);
+    }
+}
+
+async fn serve<P: TargetPort>(
+    actor: &ActorRef<AgentActor<P>>,
+    mut link: Link<SideReport, EntryOrder>,
+) -> Result<(), LinkError> {
+    let session = SessionId(NEXT_SESSION.fetch_add(1, Ordering::Relaxed));
+    let (closed, mut close) = tokio::sync::oneshot::channel();
+    let up = AgentLinkUp {
+        session,
+        sender: link.sender,
+        closed,
+    };
+    let _ = actor.tell(up).await;
+    let result = loop {
+        let received = tokio::select! {
+            received = link.receiver.receive_many() => received,
+            _ = &mut close => break Ok(()),
+        };
+        let orders = match received {
+            Ok(Some(orders)) => orders,
+            Ok(None) => break Ok(()),
+            Err(error) => break Err(error),
+        };
+        if actor.tell(AgentOrders { session, orders }).await.is_err() {
+            break Ok(());
+        }
+    };
+    let _ = actor.tell(AgentLinkDown { session }).await;
+    result
+}
--- /dev/null
+++ b/crates/mastknot_side/src/agent/agent_logs.rs
@@ -0,0 +1,49 @@
+//! One log line for each decision of a side.
+
+use log::{info, warn};
+use mastknot_core::agent::AgentDecision;
+use mastknot_core::job::EndOfRun;
+
+/// The target of decision lines, by which they can be filtered.
+const DECISION: &str = "decision";
+
+pub(super) fn log_decision(decision: &AgentDecision) {
+    match decision {
+        AgentDecision::TurnedAway {
+            run,
+            cause,
+            free_cpu_millis,
+        } => info!(target: DECISION, run:%, cause:?, free_cpu_millis; "turned_away"),
+        AgentDecision::RunEnded { run, end, ran_ms } => log_end(run, *end, *ran_ms),
+        AgentDecision::Stopping { run, end, percent } => {
+            info!(target: DECISION, run:%, end:?, percent; "stopping");
+        }
+        AgentDecision::Unconfirmed { run } => {
+            warn!(target: DECISION, run:%; "order_unanswered");
+        }
+        AgentDecision::LeaseEnded {
+            entry,
+            cause,
+            age_ms,
+            runs,
+        } => warn!(target: DECISION, entry:%, cause:?, age_ms, runs; "lease_ended"),
+        AgentDecision::EntryJoined { entry } => info!(target: DECISION, entry:%; "entry_joined"),
+        AgentDecision::Condition { target, condition } => {
+            let target_id = target.as_ref().map_or("", |target| &target.0);
+            info!(target: DECISION, target_id, condition:?; "target_condition");
+        }
+        AgentDecision::Token { token, survivors } => {
+            info!(target: DECISION, token, survivors; "fencing_token");
+        }
+        AgentDecision::LookFailed { in_a_row } => {
+            warn!(target: DECISION, in_a_row; "look_failed");
+        }
+    }
+}
+
+/// Runs that did their work are the bulk and are told by the entry's answer.
+fn log_end(run: &mastknot_core::job::RunId, end: EndOfRun, ran_ms: u32) {
+    if end != EndOfRun::Done {
+        info!(target: DECISION, run:%, end:?, ran_ms; "run_ended");
+    }
+}
--- /dev/null
+++ b/crates/mastknot_side/src/agent/mod.rs
@@ -0,0 +1,13 @@
+//! The shell of a side that runs sized tasks under leases: links, timers, calls to the target.
+
+mod agent_actor;
+mod agent_dialing;
+mod agent_logs;
+mod agent_node;
+mod finding;
+mod target_port;
+
+pub use agent_actor::AgentReport;
+pub use agent_node::{AgentNode, AgentParts};
+pub use finding::{FindEntries, find_entries};
+pub use target_port::{LookCall, StartCall, StopCall, TargetPort};
--- a/crates/mastknot_side/src/lib.rs
+++ b/crates/mastknot_side/src/lib.rs
@@ -3,9 +3,14 @@
 //! This crate has no feature flags.
 
 mod actor;
+mod agent;
 mod node;
 mod settings;
 mod target;
 
+pub use agent::{
+    AgentNode, AgentParts, AgentReport, FindEntries, LookCall, StartCall, StopCall, TargetPort,
+    find_entries,
+};
 pub use node::{SideNode, StopReport};
 pub use settings::SideFile;
--- a/crates/mastknot_wire/src/frame/wire_message.rs
+++ b/crates/mastknot_wire/src/frame/wire_message.rs
@@ -1,4 +1,5 @@
 use bincode::{Decode, Encode};
+use mastknot_core::job::{EntryOrder, SideReport};
 use mastknot_core::message::{EntryMessage, PeerMessage, SideMessage};
 
 /// A message that goes over links.
@@ -28,3 +29,15 @@
         )
     }
 }
+
+impl WireMessage for EntryOrder {
+    fn is_work(&self) -> bool {
+        matches!(self, Self::Start(_))
+    }
+}
+
+impl WireMessage for SideReport {
+    fn is_work(&self) -> bool {
+        matches!(self, Self::Status(status) if !status.ended.is_empty())
+    }
+}
--- a/crates/mastknot_wire/src/link/listen.rs
+++ b/crates/mastknot_wire/src/link/listen.rs
@@ -3,6 +3,7 @@
 
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
+use mastknot_core::job::{EntryOrder, SideReport};
 use mastknot_core::message::{EntryMessage, PeerMessage, SideMessage};
 use snafu::{OptionExt, ResultExt};
 use tokio::net::TcpStream;
@@ -25,6 +26,8 @@
     Side(Link<EntryMessage, SideMessage>),
     /// A peer.
     Peer(Link<PeerMessage, PeerMessage>),
+    /// A side that runs sized tasks under leases.
+    Agent(Link<EntryOrder, SideReport>),
 }
 
 /// Takes the link of a new connection.
@@ -44,6 +47,7 @@
     Ok(match kind {
         LinkKind::Side => Accepted::Side(start(body, respond, stats)?),
         LinkKind::Peer => Accepted::Peer(start(body, respond, stats)?),
+        LinkKind::Agent => Accepted::Agent(start(body, respond, stats)?),
     })
 }
 
--- a/crates/mastknot_wire/src/link/mod.rs
+++ b/crates/mastknot_wire/src/link/mod.rs
@@ -20,6 +20,8 @@
     Side,
     /// An entry dials an entry.
     Peer,
+    /// A side that runs sized tasks under leases dials an entry.
+    Agent,
 }
 
 impl LinkKind {
@@ -27,11 +29,12 @@
         match self {
             Self::Side => "/mastknot/side",
             Self::Peer => "/mastknot/peer",
+            Self::Agent => "/mastknot/agent",
         }
     }
 
     pub(crate) fn from_path(path: &str) -> Option<Self> {
-        [Self::Side, Self::Peer]
+        [Self::Side, Self::Peer, Self::Agent]
             .into_iter()
             .find(|kind| kind.path() == path)
     }
