perf(side): dial again within 100 ms, read the list of entries at the start

Cause: after a loss of all power sides stood ready 0.3 to 0.5 s before they were linked: their pauses between dials had grown to 500 ms, a dial to a dark machine hung for 600 ms, and the list of entries was first read after 500 ms.

--- a/crates/mastknot_side/src/agent/agent_dialing.rs
+++ b/crates/mastknot_side/src/agent/agent_dialing.rs
@@ -16,12 +16,13 @@
 use super::TargetPort;
 use super::agent_actor::{AgentActor, AgentLinkDown, AgentLinkUp, AgentOrders};
 
-/// The longest that dialing may take.
-const DIAL_LIMIT: Duration = Duration::from_millis(600);
+/// The longest that dialing may take: a machine without power says nothing, and the operating system
+/// would ask again only after a second.
+const DIAL_LIMIT: Duration = Duration::from_millis(250);
 /// The first pause between two dials.
 const FIRST_PAUSE: Duration = Duration::from_millis(20);
 /// The longest pause between two dials.
-const LONGEST_PAUSE: Duration = Duration::from_millis(500);
+const LONGEST_PAUSE: Duration = Duration::from_millis(100);
 
 static NEXT_SESSION: AtomicU64 = AtomicU64::new(1);
 
--- a/crates/mastknot_side/src/agent/finding.rs
+++ b/crates/mastknot_side/src/agent/finding.rs
@@ -9,6 +9,8 @@
 
 use super::{AgentNode, TargetPort};
 
+/// Until the first look at the own links; a process that has just started knows no entry for sure.
+const FIRST_CHECK: Duration = Duration::from_millis(60);
 /// Between two looks at the own links.
 const CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -28,8 +30,10 @@
     node: AgentNode<P>,
     places: FindEntries<S>,
 ) {
+    let mut pause = FIRST_CHECK;
     loop {
-        sleep(CHECK_INTERVAL).await;
+        sleep(pause).await;
+        pause = CHECK_INTERVAL;
         let Some(report) = node.report().await else {
             return;
         };
