perf(side): unanswered orders are looked for after 50 ms; hopeless jobs are refused at once

Cause: an order that a target leaves unanswered held its task for 150 ms, then for the rest of a look of 100 ms; targets that answer nothing went on taking orders; jobs that could earn nothing any more waited for their deadline and then started. Change: order and look limits of 50 and 100 ms, a fresh look at once, a target with two unanswered orders is absent, a job that found no room and can't end within three times its objective is refused.

--- a/crates/mastknot_core/src/agent/orders.rs
+++ b/crates/mastknot_core/src/agent/orders.rs
@@ -294,6 +294,8 @@
         };
         if run.phase == RunPhase::Ordered {
             run.phase = RunPhase::Unconfirmed { since: now };
+            // Only a look that is sent from now on can tell; the one under way may wait for long.
+            self.look = None;
             self.look_not_before = now;
             self.decided(AgentDecision::Unconfirmed { run: id });
         }
--- a/crates/mastknot_core/src/agent/views.rs
+++ b/crates/mastknot_core/src/agent/views.rs
@@ -12,7 +12,7 @@
 };
 use crate::types::Moment;
 
-/// After so many failed looks in a row a target counts as absent.
+/// After so many failed looks in a row, or with so many unanswered orders, a target counts as absent.
 const ABSENT_AFTER: u32 = 2;
 /// A run that the target misses in so many looks in a row is over.
 const LOST_AFTER: u32 = 2;
@@ -335,10 +335,19 @@
         self.decided(AgentDecision::Condition { target, condition });
     }
 
+    fn unconfirmed_runs(&self) -> usize {
+        let is_unconfirmed = |run: &super::Run| matches!(run.phase, RunPhase::Unconfirmed { .. });
+        self.runs
+            .iter()
+            .filter(|(_, run)| is_unconfirmed(run))
+            .count()
+    }
+
     fn condition_now(&self, now: Moment) -> TargetCondition {
         let is_present = self.link.profile.is_some()
             && self.link.token.is_some()
             && self.link.failed_looks < ABSENT_AFTER
+            && self.unconfirmed_runs() < ABSENT_AFTER as usize
             && self.survivors.is_empty();
         if !is_present {
             return TargetCondition::Absent;
--- a/crates/mastknot_core/src/scheduler/job_scheduler.rs
+++ b/crates/mastknot_core/src/scheduler/job_scheduler.rs
@@ -27,6 +27,8 @@
     pub(super) entries: Vec<KnownEntry>,
     pub(super) document: Option<ConfigDocument>,
     pub(super) next_sequence: u64,
+    /// When the last event was handled.
+    pub(super) handled: Moment,
     pub(super) has_told_waiting: bool,
     pub(super) counters: SchedulerCounters,
     pub(super) effects: Vec<SchedulerEffect>,
@@ -46,6 +48,7 @@
             entries: Vec::new(),
             document: None,
             next_sequence: 0,
+            handled: Moment::default(),
             has_told_waiting: false,
             counters: SchedulerCounters::default(),
             effects: Vec::new(),
@@ -56,6 +59,7 @@
     ///
     /// What time has ended is ended first: a process that was paused must not act on old beliefs.
     pub fn step(&mut self, now: Moment, event: SchedulerEvent) -> Vec<SchedulerEffect> {
+        self.handled = now;
         self.expire_jobs(now);
         self.end_silent_links(now);
         self.handle(now, event);
@@ -159,6 +163,9 @@
             None if !side.runs.is_empty() => Some(side.heard + terms.run_over_after),
             None => None,
         });
-        deadline.into_iter().chain(sides).min()
+        // The first waiting job's outlook worsens then.
+        let outlook = self.waiting.keys().next().map(|key| key.latest_start);
+        let outlook = outlook.filter(|at| *at > self.handled);
+        deadline.into_iter().chain(sides).chain(outlook).min()
     }
 }
--- a/crates/mastknot_core/src/scheduler/placing.rs
+++ b/crates/mastknot_core/src/scheduler/placing.rs
@@ -6,7 +6,7 @@
 use super::job_scheduler::JobScheduler;
 use super::side_view::SideView;
 use super::{Outlook, SchedulerDecision};
-use crate::job::{EntryOrder, JobId, RunId, StartOrder, TargetCondition};
+use crate::job::{EntryOrder, JobAnswer, JobId, RunId, StartOrder, TargetCondition};
 use crate::types::{Moment, NodeName};
 
 /// How many waiting jobs are looked at in one go.
@@ -37,9 +37,27 @@
                 misses += 1;
             }
             if misses >= MAX_MISSES {
-                return;
+                break;
             }
         }
+        if misses > 0 {
+            self.refuse_hopeless(now);
+        }
+    }
+
+    /// Refuses jobs that found no room and can't end while they are worth anything, if nothing of
+    /// them can have run: their callers learn so at once.
+    fn refuse_hopeless(&mut self, now: Moment) {
+        let hopeless = self.waiting.iter().rev();
+        let hopeless = hopeless.take_while(|(key, _)| key.outlook == Outlook::Hopeless);
+        let untouched = hopeless.filter(|(_, id)| {
+            let job = self.jobs.get(id);
+            job.is_some_and(|job| !job.may_have_begun())
+        });
+        for id in untouched.map(|(_, id)| *id).collect::<Vec<JobId>>() {
+            let retry_after = self.settings.retry_after;
+            self.answer(now, id, JobAnswer::Refused { retry_after });
+        }
     }
 
     /// Jobs that can no longer be in time make way.
--- a/crates/mastknot_virtual/src/jobs/job_system.rs
+++ b/crates/mastknot_virtual/src/jobs/job_system.rs
@@ -26,9 +26,9 @@
 /// One way between a side and its target.
 const TARGET_DELAY: u64 = 100;
 /// After this a side gives up an order without an answer.
-const ORDER_LIMIT: u64 = 150_000;
+const ORDER_LIMIT: u64 = 50_000;
 /// The same for a look, besides its own wait.
-const LOOK_LIMIT: u64 = 200_000;
+const LOOK_LIMIT: u64 = 100_000;
 /// Between two dials.
 const DIAL_PAUSE: u64 = 30_000;
 /// Between two heartbeats of a target.
