perf(side): the store remembers what a target said of itself

Cause: after a loss of all processes no entry remembered a side's target, and its next report was up to 1.5 s away; until then the side offered nothing.

--- a/crates/mastknot_core/src/agent/agent_effect.rs
+++ b/crates/mastknot_core/src/agent/agent_effect.rs
@@ -2,7 +2,7 @@
 use std::time::Duration;
 
 use super::{AgentDecision, SessionId};
-use crate::job::{ConfigDocument, KnownEntry, RunId, SideReport, TargetId};
+use crate::job::{ConfigDocument, KnownEntry, RunId, SideReport, TargetId, TargetProfile};
 
 /// What a [`TargetAgent`](super::TargetAgent) wants done.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -58,6 +58,8 @@
     Entries(Vec<KnownEntry>),
     /// A newer configuration was heard of.
     Document(ConfigDocument),
+    /// Another life of the target has reported; worth writing down.
+    TargetKnown(TargetProfile),
     /// Something was decided.
     Decided(AgentDecision),
     /// Everything that ran has ended; the process may end.
--- a/crates/mastknot_core/src/agent/agent_event.rs
+++ b/crates/mastknot_core/src/agent/agent_event.rs
@@ -126,6 +126,8 @@
         /// Whether it is leaving.
         is_draining: bool,
     },
+    /// What the target once said of itself, as an earlier life of this process wrote it down.
+    TargetRemembered(TargetProfile),
     /// The target has left by plan.
     TargetLeft {
         /// The life that left.
--- a/crates/mastknot_core/src/agent/orders.rs
+++ b/crates/mastknot_core/src/agent/orders.rs
@@ -47,8 +47,8 @@
         self.end_other_lives(now, &key);
         self.learn_entries(welcome.entries);
         self.learn_document(welcome.document);
-        if self.link.profile.is_none() && self.link.token.is_some() {
-            self.link.profile = welcome.remembered_target;
+        if let Some(profile) = welcome.remembered_target {
+            self.target_remembered(profile);
         }
         let owner = Owner::new(greeting.hello_sent);
         let owner = self.owners.entry(key.clone()).or_insert(owner);
--- a/crates/mastknot_core/src/agent/target_agent.rs
+++ b/crates/mastknot_core/src/agent/target_agent.rs
@@ -122,6 +122,7 @@
                 profile,
                 is_draining,
             } => self.target_reported(now, profile, is_draining),
+            AgentEvent::TargetRemembered(profile) => self.target_remembered(profile),
             AgentEvent::TargetLeft { target } => self.target_left(now, &target),
             AgentEvent::OrderAnswered { run, outcome } => self.order_answered(now, run, outcome),
             AgentEvent::StopAnswered {
--- a/crates/mastknot_core/src/agent/target_link.rs
+++ b/crates/mastknot_core/src/agent/target_link.rs
@@ -8,6 +8,10 @@
 pub(crate) struct TargetLink {
     /// What the target said of itself, or what an entry remembers.
     pub(crate) profile: Option<TargetProfile>,
+    /// Whether this life of it has reported to this process.
+    pub(crate) has_reported: bool,
+    /// Whether a life of it has ended: what is remembered is of no use any more.
+    pub(crate) has_lost_instance: bool,
     /// Whether it is leaving.
     pub(crate) is_draining: bool,
     /// The fencing token, once the target's clock has been read.
@@ -70,6 +74,7 @@
         *self = Self {
             heard,
             is_settled: true,
+            has_lost_instance: true,
             ..Self::default()
         };
     }
--- a/crates/mastknot_core/src/agent/views.rs
+++ b/crates/mastknot_core/src/agent/views.rs
@@ -312,10 +312,25 @@
         if self.link.profile.is_none() || self.link.failed_looks > 0 {
             self.look_not_before = now;
         }
+        let is_news = self.link.profile.as_ref().map(|known| &known.id) != Some(&profile.id)
+            || !self.link.has_reported;
+        self.link.has_reported = true;
+        if is_news {
+            let profile = profile.clone();
+            self.effects.push(AgentEffect::TargetKnown(profile));
+        }
         self.link.profile = Some(profile);
         self.link.is_draining = is_draining;
     }
 
+    /// A profile from before is good for the life of the target that said it: orders and looks
+    /// name that life, and another one refuses them.
+    pub(super) fn target_remembered(&mut self, profile: TargetProfile) {
+        if self.link.profile.is_none() && !self.link.has_lost_instance {
+            self.link.profile = Some(profile);
+        }
+    }
+
     pub(super) fn target_left(&mut self, now: Moment, target: &TargetId) {
         if self.target_id().as_ref() == Some(target) {
             self.instance_over(now);
--- a/crates/mastknot_side/src/agent/agent_actor.rs
+++ b/crates/mastknot_side/src/agent/agent_actor.rs
@@ -7,7 +7,9 @@
 use kameo::message::{Context, Message};
 use log::debug;
 use mastknot_core::agent::{AgentEffect, AgentEvent, SessionId, TargetAgent};
-use mastknot_core::job::{EntryOrder, KnownEntry, Room, SideReport, TargetCondition};
+use mastknot_core::job::{
+    EntryOrder, KnownEntry, Room, SideReport, TargetCondition, TargetProfile,
+};
 use mastknot_runtime::{Clock, Ticker};
 use mastknot_wire::{LinkSender, LinkStats};
 use tokio::sync::{oneshot, watch};
@@ -25,6 +27,7 @@
     pub(super) stats: Arc<LinkStats>,
     pub(super) drained: watch::Sender<bool>,
     pub(super) first_entries: Vec<SocketAddr>,
+    pub(super) profiles: watch::Sender<Option<TargetProfile>>,
 }
 
 /// A link as the actor holds it; dropping it closes the link.
@@ -239,6 +242,9 @@
             ),
             AgentEffect::Entries(entries) => self.dial_all(&entries),
             AgentEffect::Document(_) => {}
+            AgentEffect::TargetKnown(profile) => {
+                self.parts.profiles.send_replace(Some(profile));
+            }
             AgentEffect::Decided(decision) => log_decision(&decision),
             AgentEffect::Drained => {
                 self.parts.drained.send_replace(true);
--- a/crates/mastknot_side/src/agent/agent_node.rs
+++ b/crates/mastknot_side/src/agent/agent_node.rs
@@ -29,6 +29,7 @@
     actor: ActorRef<AgentActor<P>>,
     stats: Arc<LinkStats>,
     drained: watch::Receiver<bool>,
+    profiles: watch::Receiver<Option<TargetProfile>>,
 }
 
 impl<P: TargetPort> Clone for AgentNode<P> {
@@ -37,6 +38,7 @@
             actor: self.actor.clone(),
             stats: Arc::clone(&self.stats),
             drained: self.drained.clone(),
+            profiles: self.profiles.clone(),
         }
     }
 }
@@ -46,6 +48,7 @@
     pub fn start(parts: AgentParts<P>) -> Self {
         let stats: Arc<LinkStats> = Arc::default();
         let (drained_sender, drained) = watch::channel(false);
+        let (profile_sender, profiles) = watch::channel(None);
         let parts = AgentActorParts {
             core: TargetAgent::new(parts.settings),
             clock: parts.clock,
@@ -53,12 +56,14 @@
             stats: Arc::clone(&stats),
             drained: drained_sender,
             first_entries: parts.first_entries,
+            profiles: profile_sender,
         };
         let actor = AgentActor::spawn_with_mailbox(parts, kameo::mailbox::unbounded());
         Self {
             actor,
             stats,
             drained,
+            profiles,
         }
     }
 
@@ -71,6 +76,17 @@
         let _ = self.actor.ask(AgentInput(event)).await;
     }
 
+    /// The store remembers what the target once said of itself.
+    pub async fn target_remembered(&self, profile: TargetProfile) {
+        let event = AgentEvent::TargetRemembered(profile);
+        let _ = self.actor.tell(AgentInput(event)).await;
+    }
+
+    /// What the target says of itself, each time another life of it reports.
+    pub fn profiles(&self) -> watch::Receiver<Option<TargetProfile>> {
+        self.profiles.clone()
+    }
+
     /// The target has left by plan.
     pub async fn target_left(&self, target: TargetId) {
         let _ = self
--- a/crates/mastknot_side/src/agent/mod.rs
+++ b/crates/mastknot_side/src/agent/mod.rs
@@ -5,9 +5,11 @@
 mod agent_logs;
 mod agent_node;
 mod finding;
+mod target_memory;
 mod target_port;
 
 pub use agent_actor::AgentReport;
 pub use agent_node::{AgentNode, AgentParts};
 pub use finding::{FindEntries, find_entries};
+pub use target_memory::remember_target;
 pub use target_port::{LookCall, StartCall, StopCall, TargetPort};
--- a/crates/mastknot_side/src/lib.rs
+++ b/crates/mastknot_side/src/lib.rs
@@ -10,7 +10,7 @@
 
 pub use agent::{
     AgentNode, AgentParts, AgentReport, FindEntries, LookCall, StartCall, StopCall, TargetPort,
-    find_entries,
+    find_entries, remember_target,
 };
 pub use node::{SideNode, StopReport};
 pub use settings::SideFile;
--- a/crates/mastknot_virtual/src/jobs/job_system.rs
+++ b/crates/mastknot_virtual/src/jobs/job_system.rs
@@ -759,6 +759,7 @@
             }
             AgentEffect::Entries(_)
             | AgentEffect::Document(_)
+            | AgentEffect::TargetKnown(_)
             | AgentEffect::Decided(_)
             | AgentEffect::Drained => {}
         }
