refactor(runtime): short log lines with the fields beside the event

Cause: a decision line had 330 bytes, half of them file names and nesting. Change: a layout of our own; unused report of a leaving side removed (its condition says so).

--- a/crates/mastknot_core/src/agent/reporting.rs
+++ b/crates/mastknot_core/src/agent/reporting.rs
@@ -22,9 +22,7 @@
 
     /// When an entry is told next; at once if runs of it have ended.
     pub(super) fn report_due(&self, owner: &Owner) -> Option<Moment> {
-        if owner.session.is_none() {
-            return None;
-        }
+        owner.session?;
         if !owner.ended.is_empty() {
             return Some(owner.last_sent);
         }
--- a/crates/mastknot_core/src/job/side_report.rs
+++ b/crates/mastknot_core/src/job/side_report.rs
@@ -75,6 +75,4 @@
     },
     /// How the target stands.
     Status(SideStatus),
-    /// The side ends by plan: it takes nothing more on this link.
-    Leaving,
 }
--- a/crates/mastknot_core/src/scheduler/side_links.rs
+++ b/crates/mastknot_core/src/scheduler/side_links.rs
@@ -27,11 +27,6 @@
             SideReport::Hello(_) => {}
             SideReport::Resume { running, ended } => self.resume(now, &name, running, ended),
             SideReport::Status(status) => self.take_status(now, &name, status),
-            SideReport::Leaving => {
-                if let Some(view) = self.sides.get_mut(&name) {
-                    view.is_leaving = true;
-                }
-            }
         }
     }
 
--- a/crates/mastknot_core/src/scheduler/side_view.rs
+++ b/crates/mastknot_core/src/scheduler/side_view.rs
@@ -20,7 +20,6 @@
     pub(crate) incarnation: Incarnation,
     pub(crate) hall: Hall,
     pub(crate) is_resumed: bool,
-    pub(crate) is_leaving: bool,
     pub(crate) heard: Moment,
     pub(crate) heard_number: u64,
     pub(crate) beat_sent: Moment,
@@ -41,7 +40,6 @@
             incarnation,
             hall,
             is_resumed: false,
-            is_leaving: false,
             heard: now,
             heard_number: 0,
             beat_sent: Moment::default(),
@@ -59,7 +57,6 @@
     pub(crate) fn take_session(&mut self, now: Moment, session: SessionId) {
         self.session = Some(session);
         self.is_resumed = false;
-        self.is_leaving = false;
         self.heard = now;
         self.heard_number = 0;
         self.beat_sent = Moment::default();
@@ -103,7 +100,7 @@
 
     /// Whether work may be given to it now.
     pub(crate) fn takes_work(&self) -> bool {
-        let is_linked = self.session.is_some() && self.is_resumed && !self.is_leaving;
+        let is_linked = self.session.is_some() && self.is_resumed;
         let takes = matches!(
             self.condition,
             TargetCondition::Ready | TargetCondition::Probation
--- a/crates/mastknot_runtime/src/logs/bounded_stdout.rs
+++ b/crates/mastknot_runtime/src/logs/bounded_stdout.rs
@@ -57,7 +57,7 @@
             let dropped = taken.dropped;
             writeln!(
                 output,
-                "{{\"message\":\"log_lines_dropped\",\"count\":{dropped}}}"
+                "{{\"level\":\"WARN\",\"event\":\"log_lines_dropped\",\"count\":{dropped}}}"
             )?;
         }
         output.flush()
--- a/crates/mastknot_runtime/src/logs/mod.rs
+++ b/crates/mastknot_runtime/src/logs/mod.rs
@@ -1,6 +1,7 @@
 //! Structured logs on standard error, or bounded on standard output.
 
 mod bounded_stdout;
+mod compact_layout;
 
 use logforth::append::Stderr;
 use logforth::filter::rustlog::RustLogFilterBuilder;
@@ -8,6 +9,7 @@
 use serde::Deserialize;
 
 use bounded_stdout::BoundedStdout;
+use compact_layout::CompactLayout;
 
 use crate::settings::{CheckSettings, SettingsError, check_text};
 
@@ -76,7 +78,7 @@
     let filter = RustLogFilterBuilder::from_spec(level).build();
     let starter = logforth::starter_log::builder();
     let starter = starter.dispatch(|dispatch| {
-        let stdout = BoundedStdout::start(JsonLayout::default());
+        let stdout = BoundedStdout::start(CompactLayout);
         dispatch.filter(filter).append(stdout)
     });
     let _ = starter.try_apply();
