--- a/crates/mastknot_core/src/scheduler/job_scheduler.rs
+++ b/crates/mastknot_core/src/scheduler/job_scheduler.rs
@@ -121,6 +121,16 @@
         self.jobs.values().filter(|job| !job.is_over).count()
     }
 
+    /// Jobs of which a task waits for room.
+    pub fn waiting_jobs(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// The version of the configuration in force, 0 without one.
+    pub fn document_version(&self) -> u64 {
+        self.document.as_ref().map_or(0, |known| known.version)
+    }
+
     /// Jobs that are held, answered ones of which something may still run included.
     pub fn held_jobs(&self) -> usize {
         self.jobs.len()
--- a/crates/mastknot_entry/src/jobs/job_actor.rs
+++ b/crates/mastknot_entry/src/jobs/job_actor.rs
@@ -8,11 +8,12 @@
 use mastknot_core::scheduler::{
     CallerId, JobScheduler, SchedulerCounters, SchedulerEffect, SchedulerEvent, SessionId,
 };
-use mastknot_runtime::{Clock, Ticker};
+use mastknot_runtime::{Clock, Ticker, counters_text};
 use mastknot_wire::LinkSender;
 use tokio::sync::{mpsc, oneshot, watch};
 
 use super::job_logs::log_decision;
+use super::job_metrics::JobMetrics;
 
 /// What the actor is made of.
 pub(super) struct JobActorParts {
@@ -34,6 +35,7 @@
     ticker: Ticker,
     links: HashMap<SessionId, OpenLink>,
     callers: HashMap<CallerId, oneshot::Sender<JobAnswer>>,
+    metrics: JobMetrics,
 }
 
 /// One event for the core.
@@ -67,6 +69,9 @@
 /// Asks for the jobs of a queue of which nothing has begun.
 pub(super) struct GetPending(pub(super) String);
 
+/// Asks for all figures as text.
+pub(super) struct GetJobMetrics;
+
 /// Asks for what operators may read.
 pub(super) struct GetJobReport;
 
@@ -75,6 +80,10 @@
 pub struct JobReport {
     /// Jobs that are not answered.
     pub open_jobs: usize,
+    /// Jobs of which a task waits for room.
+    pub waiting_jobs: usize,
+    /// The configuration in force.
+    pub config_version: u64,
     /// Links to sides.
     pub links: usize,
     /// Events since the start.
@@ -97,6 +106,7 @@
             ticker,
             links: HashMap::new(),
             callers: HashMap::new(),
+            metrics: JobMetrics::new(),
         })
     }
 }
@@ -167,15 +177,31 @@
     type Reply = JobReport;
 
     async fn handle(&mut self, _: GetJobReport, _: &mut Context<Self, Self::Reply>) -> JobReport {
+        self.report()
+    }
+}
+
+impl Message<GetJobMetrics> for JobActor {
+    type Reply = String;
+
+    async fn handle(&mut self, _: GetJobMetrics, _: &mut Context<Self, Self::Reply>) -> String {
+        let report = self.report();
+        counters_text(&report) + &self.metrics.text()
+    }
+}
+
+impl JobActor {
+    fn report(&self) -> JobReport {
+        let core = &self.parts.core;
         JobReport {
-            open_jobs: self.parts.core.open_jobs(),
+            open_jobs: core.open_jobs(),
+            waiting_jobs: core.waiting_jobs(),
+            config_version: core.document_version(),
             links: self.links.len(),
-            counters: *self.parts.core.counters(),
+            counters: *core.counters(),
         }
     }
-}
 
-impl JobActor {
     fn step(&mut self, event: SchedulerEvent) {
         let now = self.parts.clock.monotonic();
         let effects = self.parts.core.step(now, event);
@@ -203,7 +229,10 @@
             SchedulerEffect::Document(document) => {
                 let _ = self.parts.documents.send(document);
             }
-            SchedulerEffect::Decided(decision) => log_decision(&decision),
+            SchedulerEffect::Decided(decision) => {
+                self.metrics.note(&decision);
+                log_decision(&decision);
+            }
         }
     }
 
--- a/crates/mastknot_entry/src/jobs/job_logs.rs
+++ b/crates/mastknot_entry/src/jobs/job_logs.rs
@@ -46,7 +46,7 @@
             first_start_ms,
             starts,
             in_time,
-        } => info!(target: DECISION, job:%, request_id:%, answer:?, after_ms, first_start_ms:?,
+        } => info!(target: DECISION, job:%, request_id:%, answer:?, after_ms, first_start_ms,
             starts, in_time; "job_answered"),
         SchedulerDecision::Abandoned { job, caller, runs } => {
             info!(target: DECISION, job:%, caller = caller.0, runs; "job_abandoned");
--- /dev/null
+++ b/crates/mastknot_entry/src/jobs/job_metrics.rs
@@ -0,0 +1,93 @@
+use std::time::Duration;
+
+use mastknot_core::job::JobAnswer;
+use mastknot_core::scheduler::SchedulerDecision;
+use mastknot_runtime::{latency_histogram, registry_text};
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::registry::Registry;
+
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct AnswerLabels {
+    answer: &'static str,
+}
+
+/// Latencies of an entry's jobs.
+pub(super) struct JobMetrics {
+    registry: Registry,
+    job_seconds: Family<AnswerLabels, Histogram>,
+    first_start_seconds: Histogram,
+    room_wait_seconds: Histogram,
+}
+
+impl JobMetrics {
+    pub(super) fn new() -> Self {
+        let mut registry = Registry::default();
+        let job_seconds = Family::new_with_constructor(latency_histogram as fn() -> Histogram);
+        let first_start_seconds = latency_histogram();
+        let room_wait_seconds = latency_histogram();
+        registry.register(
+            "mastknot_job_seconds",
+            "From handing in to the answer, by answer",
+            job_seconds.clone(),
+        );
+        registry.register(
+            "mastknot_first_start_seconds",
+            "From handing in to the first start of a task",
+            first_start_seconds.clone(),
+        );
+        registry.register(
+            "mastknot_task_wait_seconds",
+            "From handing in to each start of a task",
+            room_wait_seconds.clone(),
+        );
+        Self {
+            registry,
+            job_seconds,
+            first_start_seconds,
+            room_wait_seconds,
+        }
+    }
+
+    pub(super) fn note(&self, decision: &SchedulerDecision) {
+        match decision {
+            SchedulerDecision::Placed { waited_ms, .. } => {
+                self.room_wait_seconds.observe(seconds(*waited_ms));
+            }
+            SchedulerDecision::Answered {
+                answer,
+                after_ms,
+                first_start_ms,
+                ..
+            } => {
+                let answer = answer_name(answer);
+                let labels = AnswerLabels { answer };
+                self.job_seconds
+                    .get_or_create(&labels)
+                    .observe(seconds(*after_ms));
+                if let Some(first) = first_start_ms {
+                    self.first_start_seconds.observe(seconds(*first));
+                }
+            }
+            _ => {}
+        }
+    }
+
+    pub(super) fn text(&self) -> String {
+        registry_text(&self.registry)
+    }
+}
+
+fn answer_name(answer: &JobAnswer) -> &'static str {
+    match answer {
+        JobAnswer::Completed => "completed",
+        JobAnswer::Failed => "failed",
+        JobAnswer::Refused { .. } => "refused",
+        JobAnswer::TimedOut => "timed_out",
+    }
+}
+
+fn seconds(ms: u64) -> f64 {
+    Duration::from_millis(ms).as_secs_f64()
+}
--- a/crates/mastknot_entry/src/jobs/job_node.rs
+++ b/crates/mastknot_entry/src/jobs/job_node.rs
@@ -11,7 +11,8 @@
 use tokio::sync::{mpsc, oneshot, watch};
 
 use super::job_actor::{
-    GetJobReport, GetPending, JobActor, JobActorParts, JobInput, JobReport, JobSubmit,
+    GetJobMetrics, GetJobReport, GetPending, JobActor, JobActorParts, JobInput, JobReport,
+    JobSubmit,
 };
 use super::job_links::listen;
 
@@ -146,6 +147,11 @@
         self.actor.ask(GetJobReport).await.ok()
     }
 
+    /// All figures in Prometheus' text form.
+    pub async fn metrics_text(&self) -> Option<String> {
+        self.actor.ask(GetJobMetrics).await.ok()
+    }
+
     /// Whether a side stands ready for any service.
     pub fn has_side(&self) -> bool {
         *self.has_side.borrow()
--- a/crates/mastknot_entry/src/jobs/mod.rs
+++ b/crates/mastknot_entry/src/jobs/mod.rs
@@ -3,6 +3,7 @@
 mod job_actor;
 mod job_links;
 mod job_logs;
+mod job_metrics;
 mod job_node;
 
 pub use job_actor::JobReport;
--- a/crates/mastknot_runtime/src/lib.rs
+++ b/crates/mastknot_runtime/src/lib.rs
@@ -21,13 +21,15 @@
 };
 pub use http::{HttpClient, RequestParts};
 pub use logs::{LogFormat, LogSettings, start_bounded_logs, start_logs};
-pub use metrics::{MetricsExporter, flatten_counters};
+pub use metrics::{
+    MetricsExporter, counters_text, flatten_counters, latency_histogram, registry_text,
+};
 pub use settings::{
     CheckSettings, SettingsError, check_address, check_range, check_text, load_settings,
 };
 pub use shared_store::{
     ConfigFeedSettings, Directory, DirectorySettings, SharedChanges, SharedItem, SharedLease,
-    SharedList, SharedStore, SharedStoreError, feed_config, keep_directory,
+    SharedList, SharedStore, SharedStoreError, StoreCallCounts, feed_config, keep_directory,
 };
 pub use signals::{Signals, StopSignal};
 pub use store::{
--- a/crates/mastknot_runtime/src/metrics/mod.rs
+++ b/crates/mastknot_runtime/src/metrics/mod.rs
@@ -1,5 +1,11 @@
 //! Counters, sent as StatsD packets through `cadence` and readable as JSON over HTTP.
 
+mod latency;
+mod text;
+
+pub use latency::latency_histogram;
+pub use text::{counters_text, registry_text};
+
 use std::collections::BTreeMap;
 use std::net::{SocketAddr, UdpSocket};
 
--- a/crates/mastknot_runtime/src/shared_store/mod.rs
+++ b/crates/mastknot_runtime/src/shared_store/mod.rs
@@ -4,11 +4,13 @@
 mod entry_directory;
 mod shared_item;
 mod shared_store_error;
+mod store_call_counts;
 
 pub use config_feed::{ConfigFeedSettings, feed_config};
 pub use entry_directory::{Directory, DirectorySettings, keep_directory};
 pub use shared_item::{SharedChanges, SharedItem, SharedLease, SharedList};
 pub use shared_store_error::SharedStoreError;
+pub use store_call_counts::StoreCallCounts;
 
 use std::future::Future;
 use std::time::Duration;
--- a/crates/mastknot_side/src/agent/agent_actor.rs
+++ b/crates/mastknot_side/src/agent/agent_actor.rs
@@ -10,13 +10,14 @@
 use mastknot_core::job::{
     EntryOrder, KnownEntry, Room, SideReport, TargetCondition, TargetProfile,
 };
-use mastknot_runtime::{Clock, Ticker};
+use mastknot_runtime::{Clock, Ticker, counters_text};
 use mastknot_wire::{LinkSender, LinkStats};
 use tokio::sync::{oneshot, watch};
 use tokio::task::JoinHandle;
 
 use super::agent_dialing::keep_dialing;
 use super::agent_logs::log_decision;
+use super::agent_metrics::AgentMetrics;
 use super::{LookCall, StartCall, StopCall, TargetPort};
 
 /// What the actor is made of.
@@ -49,6 +50,7 @@
     ticker: Ticker,
     links: HashMap<SessionId, OpenLink>,
     dialing: HashMap<SocketAddr, Dialing>,
+    metrics: AgentMetrics,
 }
 
 /// One event for the core.
@@ -72,6 +74,9 @@
     pub(super) session: SessionId,
 }
 
+/// Asks for all figures as text.
+pub(super) struct GetAgentMetrics;
+
 /// Asks for what operators may read.
 pub(super) struct GetAgentReport;
 
@@ -109,6 +114,7 @@
             ticker,
             links: HashMap::new(),
             dialing: HashMap::new(),
+            metrics: AgentMetrics::new(),
         };
         for address in first {
             actor.dial(address);
@@ -178,6 +184,20 @@
         _: GetAgentReport,
         _: &mut Context<Self, Self::Reply>,
     ) -> AgentReport {
+        self.report()
+    }
+}
+
+impl<P: TargetPort> Message<GetAgentMetrics> for AgentActor<P> {
+    type Reply = String;
+
+    async fn handle(&mut self, _: GetAgentMetrics, _: &mut Context<Self, Self::Reply>) -> String {
+        counters_text(&self.report()) + &self.metrics.text()
+    }
+}
+
+impl<P: TargetPort> AgentActor<P> {
+    fn report(&self) -> AgentReport {
         let core = &self.parts.core;
         let is_ready = core.condition() == TargetCondition::Ready;
         AgentReport {
@@ -191,9 +211,7 @@
             links: self.links.len(),
         }
     }
-}
 
-impl<P: TargetPort> AgentActor<P> {
     fn step(&mut self, event: AgentEvent) {
         let now = self.parts.clock.monotonic();
         let effects = self.parts.core.step(now, event);
@@ -245,7 +263,10 @@
             AgentEffect::TargetKnown(profile) => {
                 self.parts.profiles.send_replace(Some(profile));
             }
-            AgentEffect::Decided(decision) => log_decision(&decision),
+            AgentEffect::Decided(decision) => {
+                self.metrics.note(&decision);
+                log_decision(&decision);
+            }
             AgentEffect::Drained => {
                 self.parts.drained.send_replace(true);
             }
--- /dev/null
+++ b/crates/mastknot_side/src/agent/agent_metrics.rs
@@ -0,0 +1,87 @@
+use std::time::Duration;
+
+use mastknot_core::agent::AgentDecision;
+use mastknot_core::job::EndOfRun;
+use mastknot_runtime::{latency_histogram, registry_text};
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::registry::Registry;
+
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct EndLabels {
+    end: &'static str,
+}
+
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct EventLabels {
+    event: &'static str,
+}
+
+/// Ends, latencies and what a side has decided besides.
+pub(super) struct AgentMetrics {
+    registry: Registry,
+    run_seconds: Family<EndLabels, Histogram>,
+    events: Family<EventLabels, Counter>,
+}
+
+impl AgentMetrics {
+    pub(super) fn new() -> Self {
+        let mut registry = Registry::default();
+        let run_seconds = Family::new_with_constructor(latency_histogram as fn() -> Histogram);
+        let events = Family::<EventLabels, Counter>::default();
+        registry.register(
+            "mastknot_run_seconds",
+            "From the order to the known end of a run, by end",
+            run_seconds.clone(),
+        );
+        registry.register("mastknot_side_events", "Decisions by kind", events.clone());
+        Self {
+            registry,
+            run_seconds,
+            events,
+        }
+    }
+
+    pub(super) fn note(&self, decision: &AgentDecision) {
+        if let AgentDecision::RunEnded { end, ran_ms, .. } = decision {
+            let labels = EndLabels {
+                end: end_name(*end),
+            };
+            let ran = Duration::from_millis(u64::from(*ran_ms)).as_secs_f64();
+            self.run_seconds.get_or_create(&labels).observe(ran);
+        }
+        let event = event_name(decision);
+        self.events.get_or_create(&EventLabels { event }).inc();
+    }
+
+    pub(super) fn text(&self) -> String {
+        registry_text(&self.registry)
+    }
+}
+
+fn end_name(end: EndOfRun) -> &'static str {
+    match end {
+        EndOfRun::Done => "done",
+        EndOfRun::Failed { .. } => "failed",
+        EndOfRun::Stopped => "stopped",
+        EndOfRun::Stalled => "stalled",
+        EndOfRun::Lost => "lost",
+        EndOfRun::NotRun(_) => "not_run",
+    }
+}
+
+fn event_name(decision: &AgentDecision) -> &'static str {
+    match decision {
+        AgentDecision::TurnedAway { .. } => "turned_away",
+        AgentDecision::RunEnded { .. } => "run_ended",
+        AgentDecision::Stopping { .. } => "stopping",
+        AgentDecision::Unconfirmed { .. } => "order_unanswered",
+        AgentDecision::LeaseEnded { .. } => "lease_ended",
+        AgentDecision::EntryJoined { .. } => "entry_joined",
+        AgentDecision::Condition { .. } => "target_condition",
+        AgentDecision::Token { .. } => "fencing_token",
+        AgentDecision::LookFailed { .. } => "look_failed",
+    }
+}
--- a/crates/mastknot_side/src/agent/agent_node.rs
+++ b/crates/mastknot_side/src/agent/agent_node.rs
@@ -10,7 +10,9 @@
 use tokio::sync::watch;
 
 use super::TargetPort;
-use super::agent_actor::{AgentActor, AgentActorParts, AgentInput, AgentReport, GetAgentReport};
+use super::agent_actor::{
+    AgentActor, AgentActorParts, AgentInput, AgentReport, GetAgentMetrics, GetAgentReport,
+};
 
 /// What an [`AgentNode`] is made of.
 pub struct AgentParts<P> {
@@ -108,6 +110,11 @@
         self.actor.ask(GetAgentReport).await.ok()
     }
 
+    /// All figures in Prometheus' text form.
+    pub async fn metrics_text(&self) -> Option<String> {
+        self.actor.ask(GetAgentMetrics).await.ok()
+    }
+
     /// What went over its links.
     pub fn stats(&self) -> &LinkStats {
         &self.stats
--- a/crates/mastknot_side/src/agent/mod.rs
+++ b/crates/mastknot_side/src/agent/mod.rs
@@ -3,6 +3,7 @@
 mod agent_actor;
 mod agent_dialing;
 mod agent_logs;
+mod agent_metrics;
 mod agent_node;
 mod finding;
 mod target_memory;
