--- /dev/null
+++ b/crates/mastknot_core/tests/agent.rs
@@ -0,0 +1,371 @@
+//! The core of a side: what it orders its target, holds, reports and refuses.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use mastknot_core::agent::{
+    AgentEffect, AgentEvent, AgentSettings, HowEnded, LookFailure, OrderOutcome, SessionId,
+    TargetAgent, TargetFinished, TargetView,
+};
+use mastknot_core::job::{
+    EndOfRun, EntryOrder, EntryWelcome, JobId, LeaseTerms, NotRunCause, Room, RunId, SideReport,
+    StartOrder, TargetCondition, TargetId, TargetProfile, TaskRef,
+};
+use mastknot_core::types::{Incarnation, Moment};
+
+const ENTRY: SessionId = SessionId(1);
+const OTHER: SessionId = SessionId(2);
+
+fn at(ms: u64) -> Moment {
+    Moment::from_millis(ms)
+}
+
+fn cpu(cpu_millis: u32) -> Room {
+    Room {
+        cpu_millis,
+        memory_mb: 64,
+        accelerators: 0,
+    }
+}
+
+fn run(job: u64) -> RunId {
+    let task = TaskRef {
+        job: JobId(job),
+        step: 0,
+        index: 0,
+    };
+    RunId { task, attempt: 1 }
+}
+
+fn profile() -> TargetProfile {
+    TargetProfile {
+        id: TargetId(Arc::from("target-1")),
+        service: Arc::from("service"),
+        capacity: Room {
+            cpu_millis: 4_000,
+            memory_mb: 4_096,
+            accelerators: 0,
+        },
+        labels: Vec::new(),
+    }
+}
+
+fn welcome(name: &str, incarnation: u64) -> EntryOrder {
+    EntryOrder::Welcome(EntryWelcome {
+        entry: name.into(),
+        incarnation: Incarnation(incarnation),
+        remembered_target: None,
+        entries: Vec::new(),
+        document: None,
+    })
+}
+
+fn start(job: u64, cpu_millis: u32) -> EntryOrder {
+    EntryOrder::Start(StartOrder {
+        run: run(job),
+        payload: Arc::from("text"),
+        room: cpu(cpu_millis),
+        estimate_ms: 100,
+    })
+}
+
+struct Side {
+    agent: TargetAgent,
+}
+
+impl Side {
+    /// A side whose target is known and free, linked to one entry at 1,000 ms.
+    fn ready() -> Self {
+        let settings = AgentSettings::new("side-1".into(), Incarnation(1), "hall".into());
+        let mut side = Self {
+            agent: TargetAgent::new(settings),
+        };
+        let effects = side.step(0, AgentEvent::Tick);
+        let effects = side.answer_look(1, &effects, 1_000, Vec::new());
+        side.answer_look(3, &effects, 1_002, Vec::new());
+        let profile = profile();
+        let is_draining = false;
+        side.step(
+            4,
+            AgentEvent::TargetReported {
+                profile,
+                is_draining,
+            },
+        );
+        side.join(1_000, ENTRY, "entry-1", 1);
+        side
+    }
+
+    fn step(&mut self, ms: u64, event: AgentEvent) -> Vec<AgentEffect> {
+        self.agent.step(at(ms), event)
+    }
+
+    fn join(
+        &mut self,
+        ms: u64,
+        session: SessionId,
+        name: &str,
+        incarnation: u64,
+    ) -> Vec<AgentEffect> {
+        self.step(ms, AgentEvent::LinkUp { session });
+        self.order(ms, session, welcome(name, incarnation))
+    }
+
+    fn order(&mut self, ms: u64, session: SessionId, order: EntryOrder) -> Vec<AgentEffect> {
+        let orders = vec![order];
+        self.step(ms, AgentEvent::FromEntry { session, orders })
+    }
+
+    fn answer_look(
+        &mut self,
+        ms: u64,
+        effects: &[AgentEffect],
+        clock_ms: u64,
+        finished: Vec<TargetFinished>,
+    ) -> Vec<AgentEffect> {
+        let number = look_number(effects).expect("a look is under way");
+        let view = TargetView {
+            clock_ms,
+            running: Vec::new(),
+            finished,
+        };
+        self.step(
+            ms,
+            AgentEvent::Looked {
+                number,
+                result: Ok(view),
+            },
+        )
+    }
+}
+
+fn look_number(effects: &[AgentEffect]) -> Option<u64> {
+    effects.iter().find_map(|effect| match effect {
+        AgentEffect::Look { number, .. } => Some(*number),
+        _ => None,
+    })
+}
+
+fn ordered(effects: &[AgentEffect]) -> Vec<RunId> {
+    let orders = effects.iter().filter_map(|effect| match effect {
+        AgentEffect::Order { run, .. } => Some(*run),
+        _ => None,
+    });
+    orders.collect()
+}
+
+fn stopped(effects: &[AgentEffect]) -> Vec<RunId> {
+    let stops = effects.iter().filter_map(|effect| match effect {
+        AgentEffect::StopRun { run, .. } => Some(*run),
+        _ => None,
+    });
+    stops.collect()
+}
+
+fn ends(effects: &[AgentEffect]) -> Vec<EndOfRun> {
+    let statuses = effects.iter().filter_map(|effect| match effect {
+        AgentEffect::Send {
+            report: SideReport::Status(status),
+            ..
+        } => Some(status),
+        _ => None,
+    });
+    statuses
+        .flat_map(|status| status.ended.iter().map(|ended| ended.end))
+        .collect()
+}
+
+#[test]
+fn the_usual_leases_are_safe() {
+    assert!(LeaseTerms::default().are_safe(Duration::from_millis(50)));
+    let too_soon = LeaseTerms {
+        run_over_after: Duration::from_millis(505),
+        ..LeaseTerms::default()
+    };
+    assert!(
+        !too_soon.are_safe(Duration::from_millis(50)),
+        "the hold outlives it by 2 percent"
+    );
+}
+
+#[test]
+fn a_start_is_ordered_while_there_is_room_and_turned_away_after() {
+    let mut side = Side::ready();
+    assert_eq!(
+        ordered(&side.order(1_001, ENTRY, start(1, 2_500))),
+        [run(1)]
+    );
+    let effects = side.order(1_002, ENTRY, start(2, 2_500));
+    assert_eq!(ordered(&effects), []);
+    assert_eq!(ends(&effects), [EndOfRun::NotRun(NotRunCause::NoRoom)]);
+    assert_eq!(side.agent.free().cpu_millis, 1_500);
+}
+
+#[test]
+fn a_silent_entry_loses_its_runs_when_its_lease_ends() {
+    let mut side = Side::ready();
+    side.order(1_001, ENTRY, start(1, 1_000));
+    assert_eq!(stopped(&side.step(1_350, AgentEvent::Tick)), []);
+    let effects = side.step(1_352, AgentEvent::Tick);
+    assert_eq!(stopped(&effects), [run(1)]);
+    assert!(effects.contains(&AgentEffect::Close { session: ENTRY }));
+}
+
+#[test]
+fn a_heartbeat_that_names_an_old_report_does_not_extend_the_lease() {
+    let mut side = Side::ready();
+    side.order(1_001, ENTRY, start(1, 1_000));
+    let heartbeat = EntryOrder::Heartbeat {
+        heard: 0,
+        has_waiting: false,
+    };
+    side.order(1_300, ENTRY, heartbeat);
+    let effects = side.step(1_352, AgentEvent::Tick);
+    assert_eq!(
+        stopped(&effects),
+        [run(1)],
+        "orders held up by a cut prove nothing"
+    );
+}
+
+#[test]
+fn the_hold_follows_the_oldest_lease_under_which_something_runs() {
+    let mut side = Side::ready();
+    side.order(1_001, ENTRY, start(1, 1_000));
+    side.join(1_200, OTHER, "entry-2", 1);
+    let effects = side.order(1_201, OTHER, start(2, 1_000));
+    let hold = effects.iter().find_map(|effect| match effect {
+        AgentEffect::Order { hold_until_ms, .. } => Some(*hold_until_ms),
+        _ => None,
+    });
+    // The first entry's lease counts from 1,000 ms; the target's clock is 999 ms ahead.
+    assert_eq!(hold, Some(1_000 + 999 + 500));
+}
+
+#[test]
+fn an_unanswered_order_is_looked_for_stopped_and_only_then_not_run() {
+    let mut side = Side::ready();
+    let effects = side.order(1_001, ENTRY, start(1, 1_000));
+    assert!(look_number(&effects).is_some());
+    let outcome = OrderOutcome::NoAnswer;
+    let effects = side.step(
+        1_051,
+        AgentEvent::OrderAnswered {
+            run: run(1),
+            outcome,
+        },
+    );
+    let effects = side.answer_look(1_052, &effects, 2_051, Vec::new());
+    assert_eq!(stopped(&effects), [run(1)], "it may still be carried out");
+    assert_eq!(ends(&effects), []);
+    let is_acknowledged = true;
+    side.step(
+        1_053,
+        AgentEvent::StopAnswered {
+            run: run(1),
+            is_acknowledged,
+        },
+    );
+    let number = look_number(&effects).expect("a look");
+    let view = TargetView {
+        clock_ms: 2_054,
+        ..TargetView::default()
+    };
+    let effects = side.step(
+        1_054,
+        AgentEvent::Looked {
+            number,
+            result: Ok(view),
+        },
+    );
+    assert_eq!(
+        ends(&effects),
+        [],
+        "this look was sent before the stop was acknowledged"
+    );
+    let effects = side.answer_look(1_066, &effects, 2_065, Vec::new());
+    assert_eq!(
+        ends(&effects),
+        [EndOfRun::NotRun(NotRunCause::TargetUnavailable)]
+    );
+}
+
+#[test]
+fn a_target_that_fails_three_in_a_row_gets_one_at_a_time_and_wakes_nobody_for_its_past() {
+    let mut side = Side::ready();
+    let mut effects = Vec::new();
+    for number in 1..=3 {
+        effects.extend(side.order(1_000 + number, ENTRY, start(number, 500)));
+    }
+    let finished = (1..=3).map(|number| TargetFinished {
+        number,
+        run: run(number),
+        how: HowEnded::Failed,
+    });
+    let effects = side.answer_look(1_010, &effects, 2_009, finished.collect());
+    let is_target_suspect = true;
+    assert_eq!(
+        ends(&effects).last(),
+        Some(&EndOfRun::Failed { is_target_suspect })
+    );
+    assert_eq!(
+        side.agent.condition(),
+        TargetCondition::Absent,
+        "it is paused"
+    );
+    side.step(1_070, AgentEvent::Tick);
+    assert_eq!(side.agent.condition(), TargetCondition::Probation);
+    side.order(1_071, ENTRY, start(4, 500));
+    assert_eq!(side.agent.free().cpu_millis, 0, "one at a time");
+    let next = side.agent.next_tick().expect("leases and reports are due");
+    assert!(next > at(1_071), "{next:?}");
+}
+
+#[test]
+fn a_dead_target_ends_all_runs_at_once_and_a_silent_one_when_its_hold_has_run_out() {
+    let mut dead = Side::ready();
+    let effects = dead.order(1_001, ENTRY, start(1, 1_000));
+    let number = look_number(&effects).expect("a look");
+    let result = Err(LookFailure::Refused);
+    let effects = dead.step(1_010, AgentEvent::Looked { number, result });
+    assert_eq!(ends(&effects), [EndOfRun::Lost]);
+
+    let mut silent = Side::ready();
+    let mut effects = silent.order(1_001, ENTRY, start(1, 1_000));
+    let mut over_at = None;
+    for ms in (1_101..2_000).step_by(10) {
+        if let Some(number) = look_number(&effects) {
+            let result = Err(LookFailure::Silent);
+            effects = silent.step(ms, AgentEvent::Looked { number, result });
+        } else {
+            effects = silent.step(ms, AgentEvent::Tick);
+        }
+        if silent.agent.runs().is_empty() {
+            over_at = over_at.or(Some(ms));
+        }
+    }
+    // The hold ends 500 ms after the lease began at 1,000 ms; the clock was read 1.5 s before and may
+    // be 3 percent slow.
+    let over_at = over_at.expect("the run is over");
+    assert!((1_500..1_560).contains(&over_at), "{over_at}");
+}
+
+#[test]
+fn a_profile_from_before_is_taken_until_the_target_reports_or_ends() {
+    let settings = AgentSettings::new("side-1".into(), Incarnation(2), "hall".into());
+    let mut side = Side {
+        agent: TargetAgent::new(settings),
+    };
+    side.step(0, AgentEvent::TargetRemembered(profile()));
+    let effects = side.step(1, AgentEvent::Tick);
+    assert!(side.agent.target().is_some());
+    let number = look_number(&effects).or(Some(1)).expect("a look");
+    let result = Err(LookFailure::OtherInstance);
+    side.step(2, AgentEvent::Looked { number, result });
+    assert!(side.agent.target().is_none(), "another life answers");
+    side.step(3, AgentEvent::TargetRemembered(profile()));
+    assert!(
+        side.agent.target().is_none(),
+        "what is remembered is of no use any more"
+    );
+}
--- /dev/null
+++ b/crates/mastknot_core/tests/scheduler.rs
@@ -0,0 +1,302 @@
+//! The core of an entry: order, refusal, attempts, copies of a job.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use mastknot_core::job::{
+    EndOfRun, EndedRun, EntryOrder, JobAnswer, JobId, JobRequest, QueuePolicy, Room, RunId,
+    SideHello, SideReport, SideStatus, StepSpec, TargetCondition, TargetId, TargetProfile,
+};
+use mastknot_core::scheduler::{
+    CallerId, JobScheduler, SchedulerEffect, SchedulerEvent, SchedulerSettings, SessionId,
+};
+use mastknot_core::types::{Incarnation, Moment, WallTime};
+
+fn at(ms: u64) -> Moment {
+    Moment::from_millis(ms)
+}
+
+/// What a target has.
+fn target_room(cpu_millis: u32) -> Room {
+    Room {
+        cpu_millis,
+        memory_mb: 4_096,
+        accelerators: 0,
+    }
+}
+
+/// What a task takes.
+fn room(cpu_millis: u32) -> Room {
+    Room {
+        cpu_millis,
+        memory_mb: 64,
+        accelerators: 0,
+    }
+}
+
+struct Entry {
+    scheduler: JobScheduler,
+    number: u64,
+}
+
+impl Entry {
+    /// An entry with sides whose targets have this much free processor.
+    fn with_sides(free: &[u32]) -> Self {
+        let settings = SchedulerSettings::new("entry-1".into(), Incarnation(1));
+        let mut entry = Self {
+            scheduler: JobScheduler::new(settings),
+            number: 0,
+        };
+        for (side, cpu_millis) in free.iter().enumerate() {
+            entry.join(0, side as u64, *cpu_millis);
+        }
+        entry
+    }
+
+    fn join(&mut self, ms: u64, side: u64, cpu_millis: u32) {
+        let hello = SideHello {
+            side: format!("side-{side}").as_str().into(),
+            incarnation: Incarnation(1),
+            hall: "hall".into(),
+            document: None,
+        };
+        self.reports(ms, side, vec![SideReport::Hello(hello)]);
+        let running = Vec::new();
+        let ended = Vec::new();
+        self.reports(ms, side, vec![SideReport::Resume { running, ended }]);
+        let profile = TargetProfile {
+            id: TargetId(Arc::from(format!("target-{side}"))),
+            service: Arc::from("service"),
+            capacity: target_room(16_000),
+            labels: Vec::new(),
+        };
+        self.status(ms, side, cpu_millis, 0, Some(profile), Vec::new());
+    }
+
+    fn reports(&mut self, ms: u64, side: u64, reports: Vec<SideReport>) -> Vec<SchedulerEffect> {
+        let session = SessionId(side);
+        let event = SchedulerEvent::FromSide { session, reports };
+        self.scheduler.step(at(ms), event)
+    }
+
+    fn status(
+        &mut self,
+        ms: u64,
+        side: u64,
+        cpu_millis: u32,
+        starts_included: u64,
+        target: Option<TargetProfile>,
+        ended: Vec<EndedRun>,
+    ) -> Vec<SchedulerEffect> {
+        self.number += 1;
+        let status = SideStatus {
+            number: self.number,
+            starts_included,
+            free: target_room(cpu_millis),
+            condition: TargetCondition::Ready,
+            pace_percent: 100,
+            target,
+            ended,
+        };
+        self.reports(ms, side, vec![SideReport::Status(status)])
+    }
+
+    fn submit(&mut self, ms: u64, caller: u64, job: JobRequest, left: u64) -> Vec<SchedulerEffect> {
+        let policy = QueuePolicy {
+            name: Arc::from("queue"),
+            service: Arc::from("service"),
+            priority: 0,
+            max_attempts: 2,
+            stretch: 1.6,
+            allowance: Duration::from_millis(60),
+            version: 1,
+        };
+        let event = SchedulerEvent::Submit {
+            caller: CallerId(caller),
+            job,
+            policy: Arc::new(policy),
+            time_left: Duration::from_millis(left),
+            wall: WallTime::from_millis(1_700_000_000_000),
+        };
+        self.scheduler.step(at(ms), event)
+    }
+}
+
+fn job(id: u64, tasks: u16, millis: u64) -> JobRequest {
+    JobRequest {
+        id: JobId(id),
+        request_id: Arc::from("request"),
+        payload: Arc::from("text"),
+        steps: vec![StepSpec {
+            count: tasks,
+            room: room(1_600),
+            estimate: Duration::from_millis(millis),
+            ..StepSpec::default()
+        }],
+    }
+}
+
+fn starts(effects: &[SchedulerEffect]) -> Vec<(u64, RunId)> {
+    let starts = effects.iter().filter_map(|effect| match effect {
+        SchedulerEffect::Send {
+            session,
+            order: EntryOrder::Start(start),
+        } => Some((session.0, start.run)),
+        _ => None,
+    });
+    starts.collect()
+}
+
+fn answers(effects: &[SchedulerEffect]) -> Vec<(u64, JobAnswer)> {
+    let answers = effects.iter().filter_map(|effect| match effect {
+        SchedulerEffect::Answer { caller, answer } => Some((caller.0, *answer)),
+        _ => None,
+    });
+    answers.collect()
+}
+
+fn ended(run: RunId, end: EndOfRun) -> EndedRun {
+    EndedRun {
+        run,
+        end,
+        ran_ms: 10,
+    }
+}
+
+fn failed() -> EndOfRun {
+    EndOfRun::Failed {
+        is_target_suspect: false,
+    }
+}
+
+#[test]
+fn a_wide_step_spreads_over_all_sides() {
+    let mut entry = Entry::with_sides(&[16_000, 16_000]);
+    let effects = entry.submit(1, 1, job(1, 8, 60), 2_000);
+    let on_first = starts(&effects)
+        .iter()
+        .filter(|(side, _)| *side == 0)
+        .count();
+    assert_eq!((starts(&effects).len(), on_first), (8, 4));
+}
+
+#[test]
+fn what_can_be_in_time_goes_before_what_cannot() {
+    let mut entry = Entry::with_sides(&[0]);
+    entry.submit(10, 1, job(1, 1, 100), 9_000);
+    entry.status(200, 0, 0, 0, None, Vec::new());
+    entry.submit(400, 2, job(2, 1, 100), 9_000);
+    // The first one's objective (160 + 60 ms) has passed; the second one's has not.
+    let effects = entry.status(401, 0, 1_600, 0, None, Vec::new());
+    let first: Vec<JobId> = starts(&effects)
+        .iter()
+        .map(|(_, run)| run.task.job)
+        .collect();
+    assert_eq!(first, [JobId(2)]);
+}
+
+#[test]
+fn a_hopeless_job_that_has_not_begun_is_refused_at_once() {
+    let mut entry = Entry::with_sides(&[0]);
+    entry.submit(10, 1, job(1, 1, 100), 9_000);
+    assert_eq!(answers(&entry.status(300, 0, 0, 0, None, Vec::new())), []);
+    let effects = entry.status(640, 0, 0, 0, None, Vec::new());
+    let [(1, JobAnswer::Refused { retry_after })] = answers(&effects)[..] else {
+        panic!("not refused: {effects:?}");
+    };
+    assert!(retry_after > Duration::ZERO);
+}
+
+#[test]
+fn a_job_that_may_have_begun_is_never_refused() {
+    let mut entry = Entry::with_sides(&[1_600]);
+    let begun = entry.submit(10, 1, job(1, 2, 100), 2_000);
+    assert_eq!(starts(&begun).len(), 1, "one of two tasks has room");
+    let mut given = Vec::new();
+    for ms in (60..2_100).step_by(50) {
+        given.extend(answers(&entry.status(ms, 0, 0, 1, None, Vec::new())));
+    }
+    assert_eq!(given, [(1, JobAnswer::TimedOut)]);
+}
+
+#[test]
+fn a_task_fails_its_job_after_its_attempts_but_not_for_a_suspect_target() {
+    let mut entry = Entry::with_sides(&[16_000, 16_000]);
+    let effects = entry.submit(10, 1, job(1, 1, 100), 9_000);
+    let (side, run) = starts(&effects)[0];
+    let suspect = EndOfRun::Failed {
+        is_target_suspect: true,
+    };
+    let effects = entry.status(20, side, 16_000, 1, None, vec![ended(run, suspect)]);
+    let (other, run) = starts(&effects)[0];
+    assert_ne!(side, other, "another side is tried");
+    let effects = entry.status(30, other, 16_000, 1, None, vec![ended(run, failed())]);
+    let (third, run) = starts(&effects)[0];
+    let effects = entry.status(40, third, 16_000, 2, None, vec![ended(run, failed())]);
+    assert_eq!(answers(&effects), [(1, JobAnswer::Failed)]);
+}
+
+#[test]
+fn attempt_numbers_rise_and_jump_when_a_target_calls_one_old() {
+    use mastknot_core::job::NotRunCause;
+    let mut entry = Entry::with_sides(&[16_000]);
+    let effects = entry.submit(10, 1, job(1, 1, 100), 9_000);
+    let (side, first) = starts(&effects)[0];
+    let old = EndOfRun::NotRun(NotRunCause::OldAttempt);
+    let effects = entry.status(20, side, 16_000, 1, None, vec![ended(first, old)]);
+    let (_, second) = starts(&effects)[0];
+    assert!(second.attempt > first.attempt + 1_000);
+}
+
+#[test]
+fn a_job_that_comes_again_is_one_job_and_answers_both_callers() {
+    let mut entry = Entry::with_sides(&[16_000]);
+    let effects = entry.submit(10, 1, job(1, 1, 100), 9_000);
+    let (side, run) = starts(&effects)[0];
+    assert_eq!(starts(&entry.submit(20, 2, job(1, 1, 100), 9_000)), []);
+    let effects = entry.status(30, side, 16_000, 1, None, vec![ended(run, EndOfRun::Done)]);
+    let completed = JobAnswer::Completed;
+    assert_eq!(answers(&effects), [(1, completed), (2, completed)]);
+    assert_eq!(entry.scheduler.held_jobs(), 0);
+}
+
+#[test]
+fn a_task_of_a_silent_side_starts_again_only_when_all_leases_have_run_out() {
+    let mut entry = Entry::with_sides(&[16_000]);
+    let effects = entry.submit(10, 1, job(1, 1, 900), 9_000);
+    assert_eq!(starts(&effects).len(), 1);
+    entry.join(300, 1, 16_000);
+    let mut again = Vec::new();
+    for ms in (310..700).step_by(10) {
+        let effects = entry.status(ms, 1, 16_000, 0, None, Vec::new());
+        again.extend(starts(&effects).into_iter().map(|(side, _)| (ms, side)));
+    }
+    // It was last heard at 0 ms: silence closes its link after 350, its runs are over after 600.
+    assert_eq!(again, [(610, 1)]);
+}
+
+#[test]
+fn an_abandoned_job_stops_what_runs_and_is_forgotten() {
+    let mut entry = Entry::with_sides(&[16_000]);
+    let effects = entry.submit(10, 1, job(1, 1, 100), 9_000);
+    let (side, run) = starts(&effects)[0];
+    let caller = CallerId(1);
+    let effects = entry
+        .scheduler
+        .step(at(20), SchedulerEvent::Abandon { caller });
+    let stop = EntryOrder::Stop(run);
+    let session = SessionId(side);
+    assert!(effects.contains(&SchedulerEffect::Send {
+        session,
+        order: stop
+    }));
+    entry.status(
+        30,
+        side,
+        16_000,
+        1,
+        None,
+        vec![ended(run, EndOfRun::Stopped)],
+    );
+    assert_eq!(entry.scheduler.held_jobs(), 0);
+}
