--- /dev/null
+++ b/crates/mastknot_virtual/src/jobs/callers.rs
@@ -0,0 +1,111 @@
+//! Callers: handing in, answers, coming again.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use mastknot_core::job::{JobAnswer, JobId, QueuePolicy, TaskRef};
+use mastknot_core::scheduler::{CallerId, SchedulerEvent};
+use mastknot_core::types::WallTime;
+use rand::RngExt;
+
+use super::job_system::{
+    ANSWER_SLACK, Act, CALLER_TIME, Caller, JobSystem, MAX_TRIES, MILLI, RESEND_AFTER,
+};
+
+impl JobSystem {
+    pub(super) fn submit_now(&mut self, id: JobId, entry: usize) {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        job.tries += 1;
+        let request = job.request.clone();
+        let caller = CallerId(self.next_caller);
+        self.next_caller += 1;
+        let node = &self.entries[entry];
+        let is_down = node.core.is_none();
+        let known = Caller {
+            job: id,
+            entry,
+            entry_life: node.life,
+            handed_in: self.now,
+            was_disturbed: is_down || node.frozen_until > self.now,
+        };
+        self.callers.insert(caller, known);
+        if is_down {
+            self.caller_lost(caller);
+            return;
+        }
+        let policy = QueuePolicy {
+            name: Arc::from("queue"),
+            service: Arc::from("service"),
+            priority: 0,
+            max_attempts: 4,
+            stretch: 1.6,
+            allowance: Duration::from_millis(60),
+            version: 1,
+        };
+        let event = SchedulerEvent::Submit {
+            caller,
+            job: request,
+            policy: Arc::new(policy),
+            time_left: Duration::from_micros(CALLER_TIME),
+            wall: WallTime::from_millis(1_700_000_000_000 + self.now / MILLI),
+        };
+        let slack = CALLER_TIME + ANSWER_SLACK;
+        self.later(slack, Act::CallerTimeout { caller });
+        if self.entries[entry].frozen_until > self.now {
+            // The request waits in the socket; the caller leaves before it is read.
+            return;
+        }
+        self.step_entry(entry, event);
+    }
+
+    pub(super) fn caller_answered(&mut self, caller: CallerId, answer: JobAnswer) {
+        let Some(known) = self.callers.remove(&caller) else {
+            return;
+        };
+        let Some(job) = self.jobs.get(&known.job) else {
+            return;
+        };
+        let steps = &job.request.steps;
+        let tasks = (0..steps[0].count).map(|index| TaskRef {
+            job: known.job,
+            step: 0,
+            index,
+        });
+        let tasks: Vec<TaskRef> = tasks.collect();
+        self.audit.answered(known.job, answer, &tasks);
+        if answer == JobAnswer::TimedOut {
+            self.resend(known.job);
+        }
+    }
+
+    pub(super) fn caller_timeout(&mut self, caller: CallerId) {
+        let Some(known) = self.callers.get(&caller).cloned() else {
+            return;
+        };
+        let is_same_life = self.entries[known.entry].life == known.entry_life;
+        if !known.was_disturbed && is_same_life {
+            self.audit.unanswered(known.job, known.handed_in);
+        }
+        self.caller_lost(caller);
+        if is_same_life && self.entries[known.entry].frozen_until <= self.now {
+            self.step_entry(known.entry, SchedulerEvent::Abandon { caller });
+        }
+    }
+
+    pub(super) fn caller_lost(&mut self, caller: CallerId) {
+        if let Some(known) = self.callers.remove(&caller) {
+            self.unanswered.insert(known.job);
+            self.resend(known.job);
+        }
+    }
+
+    pub(super) fn resend(&mut self, id: JobId) {
+        let tries = self.jobs.get(&id).map_or(MAX_TRIES, |job| job.tries);
+        if tries < MAX_TRIES {
+            let entry = self.rng.random_range(0..self.settings.entries);
+            self.later(RESEND_AFTER, Act::Submit { job: id, entry });
+        }
+    }
+}
--- /dev/null
+++ b/crates/mastknot_virtual/src/jobs/links.rs
@@ -0,0 +1,106 @@
+//! Links between entries and sides: dialing, order of arrival, cuts, resets.
+
+use mastknot_core::agent::{AgentEvent, SessionId};
+use mastknot_core::scheduler::SchedulerEvent;
+
+use super::job_system::{Act, DIAL_PAUSE, JobSystem, LINK_DELAY};
+
+impl JobSystem {
+    pub(super) fn dial(&mut self, entry: usize, side: usize) {
+        let is_linked = self.sides[side]
+            .open
+            .iter()
+            .any(|session| self.sessions.get(session) == Some(&(entry, side)));
+        if self.sides[side].core.is_none() || is_linked {
+            return;
+        }
+        let cut = self.cuts.get(&(entry, side)).copied().unwrap_or_default();
+        let is_cut = cut.to_side_until.max(cut.to_entry_until) > self.now;
+        if is_cut || self.entries[entry].core.is_none() {
+            self.later(DIAL_PAUSE, Act::Dial { entry, side });
+            return;
+        }
+        let session = SessionId(self.next_session);
+        self.next_session += 1;
+        self.sessions.insert(session, (entry, side));
+        self.entries[entry].open.insert(session);
+        self.sides[side].open.insert(session);
+        let life = self.sides[side].life;
+        let event = Box::new(AgentEvent::LinkUp { session });
+        self.later(0, Act::SideInput { side, life, event });
+    }
+
+    pub(super) fn redial(&mut self, session: SessionId) {
+        if let Some((entry, side)) = self.sessions.get(&session).copied() {
+            self.later(DIAL_PAUSE, Act::Dial { entry, side });
+        }
+    }
+
+    /// When something sent now arrives: in order, and not before a cut is over.
+    pub(super) fn arrival(&mut self, session: SessionId, is_to_side: bool) -> u64 {
+        let place = self.sessions.get(&session).copied().unwrap_or_default();
+        let cut = self.cuts.get(&place).copied().unwrap_or_default();
+        let open_at = match is_to_side {
+            true => cut.to_side_until,
+            false => cut.to_entry_until,
+        };
+        let last = self.last_arrival.entry((session, is_to_side)).or_default();
+        let at = (self.now.max(open_at) + LINK_DELAY).max(*last);
+        *last = at;
+        at
+    }
+
+    pub(super) fn close_at_entry(&mut self, entry: usize, session: SessionId) {
+        if !self.entries[entry].open.remove(&session) {
+            return;
+        }
+        let Some((_, side)) = self.sessions.get(&session).copied() else {
+            return;
+        };
+        let life = self.sides[side].life;
+        let at = self.arrival(session, true);
+        self.schedule.add(
+            at,
+            Act::DownAtSide {
+                side,
+                life,
+                session,
+            },
+        );
+    }
+
+    pub(super) fn close_at_side(&mut self, side: usize, session: SessionId) {
+        if !self.sides[side].open.remove(&session) {
+            return;
+        }
+        let Some((entry, _)) = self.sessions.get(&session).copied() else {
+            return;
+        };
+        let life = self.entries[entry].life;
+        let at = self.arrival(session, false);
+        self.schedule.add(
+            at,
+            Act::DownAtEntry {
+                entry,
+                life,
+                session,
+            },
+        );
+        self.redial(session);
+    }
+
+    pub(super) fn reset_link(&mut self, entry: usize, side: usize) {
+        let open = self.sides[side].open.iter();
+        let found = open
+            .copied()
+            .find(|session| self.sessions.get(session) == Some(&(entry, side)));
+        let Some(session) = found else {
+            return;
+        };
+        self.entries[entry].open.remove(&session);
+        self.sides[side].open.remove(&session);
+        self.step_entry(entry, SchedulerEvent::LinkDown { session });
+        self.step_side(side, AgentEvent::LinkDown { session });
+        self.redial(session);
+    }
+}
--- a/crates/mastknot_virtual/src/jobs/mod.rs
+++ b/crates/mastknot_virtual/src/jobs/mod.rs
@@ -1,8 +1,13 @@
 //! Jobs of sized tasks: the real cores of entries and sides, with fake targets, links and callers.
 
+mod callers;
 mod job_audit;
 mod job_faults;
 mod job_system;
+mod links;
+mod processes;
+mod strikes;
+mod targets;
 mod virtual_target;
 
 pub use job_audit::{JobAudit, JobViolation};
--- /dev/null
+++ b/crates/mastknot_virtual/src/jobs/processes.rs
@@ -0,0 +1,180 @@
+//! Entries and sides: starts, steps, effects.
+
+use mastknot_core::agent::{AgentEffect, AgentEvent, AgentSettings, TargetAgent};
+use mastknot_core::job::Room;
+use mastknot_core::scheduler::{JobScheduler, SchedulerEffect, SchedulerEvent, SchedulerSettings};
+use mastknot_core::types::{Incarnation, Moment};
+
+use super::job_system::{Act, JobSystem, LINK_DELAY, MILLI, OpenLook};
+use super::virtual_target::{VirtualLook, VirtualStart};
+
+impl JobSystem {
+    pub(super) fn start_entry(&mut self, entry: usize) {
+        let node = &mut self.entries[entry];
+        node.life += 1;
+        let name = format!("entry-{entry}");
+        let incarnation = Incarnation(node.life);
+        let settings = SchedulerSettings::new(name.as_str().into(), incarnation);
+        node.core = Some(JobScheduler::new(settings));
+        node.open.clear();
+        node.tick_at = None;
+        node.frozen_until = 0;
+    }
+
+    pub(super) fn start_side(&mut self, side: usize) {
+        let node = &mut self.sides[side];
+        node.life += 1;
+        let name = format!("side-{side}");
+        let incarnation = Incarnation(node.life);
+        let settings = AgentSettings::new(name.as_str().into(), incarnation, "hall".into());
+        node.core = Some(TargetAgent::new(settings));
+        node.open.clear();
+        node.tick_at = None;
+        node.frozen_until = 0;
+        for entry in 0..self.settings.entries {
+            self.later(LINK_DELAY, Act::Dial { entry, side });
+        }
+        self.step_side(side, AgentEvent::Tick);
+    }
+
+    pub(super) fn step_entry(&mut self, entry: usize, event: SchedulerEvent) {
+        let now = self.moment();
+        let Some(core) = &mut self.entries[entry].core else {
+            return;
+        };
+        let effects = core.step(now, event);
+        let next = core.next_tick();
+        for effect in effects {
+            self.entry_effect(entry, effect);
+        }
+        let life = self.entries[entry].life;
+        if let Some(at) = self.wake(next, self.entries[entry].tick_at) {
+            self.entries[entry].tick_at = Some(at);
+            self.schedule.add(at, Act::TickEntry { entry, life });
+        }
+    }
+
+    pub(super) fn step_side(&mut self, side: usize, event: AgentEvent) {
+        let now = self.moment();
+        let Some(core) = &mut self.sides[side].core else {
+            return;
+        };
+        let effects = core.step(now, event);
+        let next = core.next_tick();
+        for effect in effects {
+            self.side_effect(side, effect);
+        }
+        let life = self.sides[side].life;
+        if let Some(at) = self.wake(next, self.sides[side].tick_at) {
+            self.sides[side].tick_at = Some(at);
+            self.schedule.add(at, Act::TickSide { side, life });
+        }
+    }
+
+    /// When to wake a core, unless it is woken before.
+    pub(super) fn wake(&self, next: Option<Moment>, planned: Option<u64>) -> Option<u64> {
+        let at = next?.as_micros().max(self.now + 100);
+        planned.is_none_or(|planned| at < planned).then_some(at)
+    }
+
+    pub(super) fn entry_effect(&mut self, entry: usize, effect: SchedulerEffect) {
+        match effect {
+            SchedulerEffect::Send { session, order } => {
+                if !self.entries[entry].open.contains(&session) {
+                    return;
+                }
+                let Some((_, side)) = self.sessions.get(&session).copied() else {
+                    return;
+                };
+                let life = self.sides[side].life;
+                let order = Box::new(order);
+                let at = self.arrival(session, true);
+                self.schedule.add(
+                    at,
+                    Act::ToSide {
+                        side,
+                        life,
+                        session,
+                        order,
+                    },
+                );
+            }
+            SchedulerEffect::Close { session } => self.close_at_entry(entry, session),
+            SchedulerEffect::Answer { caller, answer } => self.caller_answered(caller, answer),
+            SchedulerEffect::Document(_) | SchedulerEffect::Decided(_) => {}
+        }
+    }
+
+    pub(super) fn side_effect(&mut self, side: usize, effect: AgentEffect) {
+        let life = self.sides[side].life;
+        match effect {
+            AgentEffect::Send { session, report } => {
+                if !self.sides[side].open.contains(&session) {
+                    return;
+                }
+                let Some((entry, _)) = self.sessions.get(&session).copied() else {
+                    return;
+                };
+                let life = self.entries[entry].life;
+                let report = Box::new(report);
+                let at = self.arrival(session, false);
+                self.schedule.add(
+                    at,
+                    Act::ToEntry {
+                        entry,
+                        life,
+                        session,
+                        report,
+                    },
+                );
+            }
+            AgentEffect::Close { session } => self.close_at_side(side, session),
+            AgentEffect::Order {
+                run,
+                hold_until_ms,
+                token,
+                target,
+                ..
+            } => {
+                let room = Room {
+                    cpu_millis: 1_600,
+                    memory_mb: 64,
+                    accelerators: 0,
+                };
+                let work = self.jobs.get(&run.task.job).map_or(MILLI, |job| job.work);
+                let start = VirtualStart {
+                    run,
+                    room,
+                    work,
+                    hold_until_ms,
+                    token,
+                    target,
+                };
+                self.order_start(side, life, start);
+            }
+            AgentEffect::StopRun { run, token } => self.order_stop(side, life, run, token),
+            AgentEffect::Look {
+                number,
+                hold_until_ms,
+                token,
+                last_seen,
+                wait,
+                target,
+            } => {
+                let look = VirtualLook {
+                    hold_until_ms,
+                    token,
+                    last_seen,
+                    target,
+                };
+                let open = OpenLook { number, life, look };
+                self.order_look(side, open, wait.as_micros() as u64);
+            }
+            AgentEffect::Entries(_)
+            | AgentEffect::Document(_)
+            | AgentEffect::TargetKnown(_)
+            | AgentEffect::Decided(_)
+            | AgentEffect::Drained => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/mastknot_virtual/src/jobs/strikes.rs
@@ -0,0 +1,115 @@
+//! Faults, as they strike.
+
+use mastknot_core::agent::SessionId;
+use mastknot_core::scheduler::CallerId;
+
+use super::job_system::{Act, JobSystem};
+use super::{Direction, JobFault};
+
+impl JobSystem {
+    pub(super) fn strike(&mut self, fault: JobFault) {
+        match fault {
+            JobFault::KillEntry { entry, down } => {
+                self.kill_entry(entry);
+                self.later(down.as_micros() as u64, Act::StartEntry { entry });
+            }
+            JobFault::FreezeEntry { entry, time } => {
+                let until = self.now + time.as_micros() as u64;
+                self.entries[entry].frozen_until = until;
+                let disturbed = self
+                    .callers
+                    .values_mut()
+                    .filter(|caller| caller.entry == entry);
+                disturbed.for_each(|caller| caller.was_disturbed = true);
+            }
+            JobFault::KillSide { side, down } => {
+                self.kill_side(side);
+                self.later(down.as_micros() as u64, Act::StartSide { side });
+            }
+            JobFault::FreezeSide { side, time } => {
+                self.sides[side].frozen_until = self.now + time.as_micros() as u64;
+            }
+            JobFault::CutLink {
+                entry,
+                side,
+                direction,
+                time,
+            } => {
+                let until = self.now + time.as_micros() as u64;
+                let cut = self.cuts.entry((entry, side)).or_default();
+                if direction != Direction::ToEntry {
+                    cut.to_side_until = until;
+                }
+                if direction != Direction::ToSide {
+                    cut.to_entry_until = until;
+                }
+            }
+            JobFault::ResetLink { entry, side } => self.reset_link(entry, side),
+            JobFault::CrashTarget {
+                side,
+                down,
+                is_dark,
+            } => {
+                self.crash_target(side, is_dark);
+                self.later(down.as_micros() as u64, Act::StartTarget { side });
+            }
+            JobFault::Mood { side, mood, time } => {
+                if let Some(target) = &mut self.targets[side].target {
+                    target.mood = mood;
+                }
+                self.later(time.as_micros() as u64, Act::MoodOver { side });
+            }
+        }
+    }
+
+    pub(super) fn kill_entry(&mut self, entry: usize) {
+        let node = &mut self.entries[entry];
+        node.core = None;
+        node.life += 1;
+        let open: Vec<SessionId> = node.open.drain().collect();
+        for session in open {
+            let Some((_, side)) = self.sessions.get(&session).copied() else {
+                continue;
+            };
+            let life = self.sides[side].life;
+            let at = self.arrival(session, true);
+            self.schedule.add(
+                at,
+                Act::DownAtSide {
+                    side,
+                    life,
+                    session,
+                },
+            );
+        }
+        let lost = self
+            .callers
+            .iter()
+            .filter(|(_, caller)| caller.entry == entry);
+        let lost: Vec<CallerId> = lost.map(|(caller, _)| *caller).collect();
+        lost.into_iter().for_each(|caller| self.caller_lost(caller));
+    }
+
+    pub(super) fn kill_side(&mut self, side: usize) {
+        let node = &mut self.sides[side];
+        node.core = None;
+        node.life += 1;
+        self.targets[side].open_look = None;
+        let open: Vec<SessionId> = self.sides[side].open.drain().collect();
+        for session in open {
+            let Some((entry, _)) = self.sessions.get(&session).copied() else {
+                continue;
+            };
+            let life = self.entries[entry].life;
+            let at = self.arrival(session, false);
+            self.schedule.add(
+                at,
+                Act::DownAtEntry {
+                    entry,
+                    life,
+                    session,
+                },
+            );
+        }
+    }
+}
--- /dev/null
+++ b/crates/mastknot_virtual/src/jobs/targets.rs
@@ -0,0 +1,301 @@
+//! Calls to fake targets, and what they answer.
+
+use std::sync::Arc;
+
+use mastknot_core::agent::{AgentEvent, LookFailure, OrderOutcome, TargetView};
+use mastknot_core::job::{Room, RunId, TargetId, TargetProfile};
+use rand::RngExt;
+
+use super::job_system::{
+    Act, BEAT, CallFate, JobSystem, LOOK_LIMIT, MILLI, ORDER_LIMIT, OpenLook, TARGET_DELAY,
+};
+use super::virtual_target::{TargetMood, VirtualStart, VirtualTarget};
+
+impl JobSystem {
+    pub(super) fn start_target(&mut self, side: usize) {
+        let slow = self.rng.random_range(0..=20);
+        let slot = &mut self.targets[side];
+        slot.lives += 1;
+        let lives = slot.lives;
+        let id = TargetId(Arc::from(format!("target-{side}-{lives}")));
+        let capacity = Room {
+            cpu_millis: self.settings.cpu_millis,
+            memory_mb: 32_768,
+            accelerators: 0,
+        };
+        slot.target = Some(VirtualTarget::new(id, capacity, slow, self.now));
+        self.later(MILLI, Act::Beat { side, lives });
+    }
+
+    pub(super) fn beat(&mut self, side: usize, lives: u64) {
+        let slot = &self.targets[side];
+        let Some(target) = slot.target.as_ref().filter(|_| slot.lives == lives) else {
+            return;
+        };
+        let profile = TargetProfile {
+            id: target.id.clone(),
+            service: Arc::from("service"),
+            capacity: Room {
+                cpu_millis: self.settings.cpu_millis,
+                memory_mb: 32_768,
+                accelerators: 0,
+            },
+            labels: Vec::new(),
+        };
+        let event = AgentEvent::TargetReported {
+            profile,
+            is_draining: false,
+        };
+        let life = self.sides[side].life;
+        let event = Box::new(event);
+        self.later(TARGET_DELAY, Act::SideInput { side, life, event });
+        self.later(BEAT, Act::Beat { side, lives });
+    }
+
+    /// What becomes of the next call to a target.
+    pub(super) fn call_fate(&mut self, side: usize) -> CallFate {
+        let slot = &mut self.targets[side];
+        slot.calls += 1;
+        let Some(target) = &slot.target else {
+            return match slot.is_dark {
+                true => CallFate::Lost,
+                false => CallFate::Refused,
+            };
+        };
+        match target.mood {
+            TargetMood::AppliesLate(every) if slot.calls.is_multiple_of(every) => {
+                CallFate::Late(self.rng.random_range(2_000_000..12_000_000))
+            }
+            TargetMood::LosesAnswers(every) if slot.calls.is_multiple_of(every) => {
+                CallFate::Unanswered
+            }
+            _ => CallFate::Done,
+        }
+    }
+
+    pub(super) fn side_input(&mut self, delay: u64, side: usize, life: u64, event: AgentEvent) {
+        let event = Box::new(event);
+        self.later(delay, Act::SideInput { side, life, event });
+    }
+
+    pub(super) fn order_start(&mut self, side: usize, life: u64, start: VirtualStart) {
+        let run = start.run;
+        let start = Box::new(start);
+        let outcome = |outcome| AgentEvent::OrderAnswered { run, outcome };
+        let arrives = |is_answered| Act::TargetStart {
+            side,
+            life,
+            start: start.clone(),
+            is_answered,
+        };
+        match self.call_fate(side) {
+            CallFate::Done => self.later(TARGET_DELAY, arrives(true)),
+            CallFate::Unanswered => {
+                self.later(TARGET_DELAY, arrives(false));
+                self.side_input(ORDER_LIMIT, side, life, outcome(OrderOutcome::NoAnswer));
+            }
+            CallFate::Late(delay) => {
+                self.later(delay, arrives(false));
+                self.side_input(ORDER_LIMIT, side, life, outcome(OrderOutcome::NoAnswer));
+            }
+            CallFate::Lost => {
+                self.side_input(ORDER_LIMIT, side, life, outcome(OrderOutcome::NoAnswer));
+            }
+            CallFate::Refused => {
+                self.side_input(TARGET_DELAY, side, life, outcome(OrderOutcome::Unreachable));
+            }
+        }
+    }
+
+    pub(super) fn order_stop(&mut self, side: usize, life: u64, run: RunId, token: u64) {
+        let failed = AgentEvent::StopAnswered {
+            run,
+            is_acknowledged: false,
+        };
+        let arrives = |is_answered| Act::TargetStop {
+            side,
+            life,
+            run,
+            token,
+            is_answered,
+        };
+        match self.call_fate(side) {
+            CallFate::Done => self.later(TARGET_DELAY, arrives(true)),
+            CallFate::Unanswered => {
+                self.later(TARGET_DELAY, arrives(false));
+                self.side_input(ORDER_LIMIT, side, life, failed);
+            }
+            CallFate::Late(delay) => {
+                self.later(delay, arrives(false));
+                self.side_input(ORDER_LIMIT, side, life, failed);
+            }
+            CallFate::Lost => self.side_input(ORDER_LIMIT, side, life, failed),
+            CallFate::Refused => self.side_input(TARGET_DELAY, side, life, failed),
+        }
+    }
+
+    pub(super) fn order_look(&mut self, side: usize, open: OpenLook, wait: u64) {
+        let (number, life) = (open.number, open.life);
+        let looked = |failure| AgentEvent::Looked {
+            number,
+            result: Err(failure),
+        };
+        match self.call_fate(side) {
+            CallFate::Done => {
+                let open = Box::new(open);
+                self.later(TARGET_DELAY, Act::TargetLook { side, open, wait });
+            }
+            CallFate::Refused => {
+                self.side_input(TARGET_DELAY, side, life, looked(LookFailure::Refused));
+            }
+            CallFate::Late(_) | CallFate::Unanswered | CallFate::Lost => {
+                self.side_input(wait + LOOK_LIMIT, side, life, looked(LookFailure::Silent));
+            }
+        }
+    }
+
+    pub(super) fn target_start(
+        &mut self,
+        side: usize,
+        life: u64,
+        start: &VirtualStart,
+        is_answered: bool,
+    ) {
+        self.advance_target(side);
+        let now = self.now;
+        let Some(target) = &mut self.targets[side].target else {
+            return;
+        };
+        let (outcome, has_begun) = target.start(now, start);
+        if has_begun {
+            self.audit.run_started(now, side, start.run);
+        }
+        self.wake_target(side);
+        if is_answered {
+            let run = start.run;
+            let event = AgentEvent::OrderAnswered { run, outcome };
+            self.side_input(TARGET_DELAY, side, life, event);
+        }
+    }
+
+    pub(super) fn target_stop(
+        &mut self,
+        side: usize,
+        life: u64,
+        run: RunId,
+        token: u64,
+        is_answered: bool,
+    ) {
+        self.advance_target(side);
+        let now = self.now;
+        let Some(target) = &mut self.targets[side].target else {
+            return;
+        };
+        let is_acknowledged = target.stop(now, run, token);
+        self.wake_target(side);
+        if is_answered {
+            let event = AgentEvent::StopAnswered {
+                run,
+                is_acknowledged,
+            };
+            self.side_input(TARGET_DELAY, side, life, event);
+        }
+    }
+
+    pub(super) fn target_look(&mut self, side: usize, open: OpenLook, wait: u64) {
+        self.advance_target(side);
+        let number = open.number;
+        // The hold is renewed when the look arrives, not when it is answered.
+        if let Some(target) = &mut self.targets[side].target {
+            let _ = target.look(self.now, &open.look);
+        }
+        self.targets[side].open_look = Some(open);
+        self.wake_target(side);
+        if wait == 0 || self.has_news(side) {
+            self.answer_look(side, Some(number));
+        } else {
+            self.later(wait, Act::LookWaited { side, number });
+        }
+    }
+
+    pub(super) fn has_news(&mut self, side: usize) -> bool {
+        let slot = &mut self.targets[side];
+        let (Some(target), Some(open)) = (&mut slot.target, &slot.open_look) else {
+            return false;
+        };
+        let view = target.look(self.now, &open.look);
+        view.is_err() || view.is_ok_and(|view| !view.finished.is_empty())
+    }
+
+    pub(super) fn answer_look(&mut self, side: usize, number: Option<u64>) {
+        let slot = &mut self.targets[side];
+        let is_open = slot
+            .open_look
+            .as_ref()
+            .is_some_and(|open| number.is_none_or(|number| number == open.number));
+        if !is_open {
+            return;
+        }
+        let (Some(open), Some(target)) = (slot.open_look.take(), &mut slot.target) else {
+            return;
+        };
+        let result: Result<TargetView, LookFailure> = target.look(self.now, &open.look);
+        let event = AgentEvent::Looked {
+            number: open.number,
+            result,
+        };
+        self.side_input(TARGET_DELAY, side, open.life, event);
+    }
+
+    pub(super) fn advance_target(&mut self, side: usize) {
+        let now = self.now;
+        let Some(target) = &mut self.targets[side].target else {
+            return;
+        };
+        let ends = target.advance(now);
+        let has_ended = !ends.is_empty();
+        for end in ends {
+            self.audit.run_ended(side, end.run, end.is_done);
+        }
+        if has_ended {
+            self.answer_look(side, None);
+        }
+        self.wake_target(side);
+    }
+
+    pub(super) fn wake_target(&mut self, side: usize) {
+        let slot = &mut self.targets[side];
+        let Some(next) = slot.target.as_ref().and_then(VirtualTarget::next_end) else {
+            return;
+        };
+        let at = next.max(self.now + 1);
+        if slot.due_at.is_none_or(|due| at < due || due <= self.now) {
+            slot.due_at = Some(at);
+            self.schedule.add(at, Act::TargetDue { side });
+        }
+    }
+
+    pub(super) fn crash_target(&mut self, side: usize, is_dark: bool) {
+        self.advance_target(side);
+        let slot = &mut self.targets[side];
+        slot.is_dark = is_dark;
+        let Some(target) = slot.target.take() else {
+            return;
+        };
+        let open = slot.open_look.take();
+        for run in target.running() {
+            self.audit.run_ended(side, run, false);
+        }
+        if let Some(open) = open {
+            let failure = match is_dark {
+                true => LookFailure::Silent,
+                false => LookFailure::Refused,
+            };
+            let event = AgentEvent::Looked {
+                number: open.number,
+                result: Err(failure),
+            };
+            self.side_input(LOOK_LIMIT, side, open.life, event);
+        }
+    }
+}
