fix(runtime): entries that lapsed in an outage of the store have two seconds to come back

The directory dropped them with the first answer after the outage, so sides stopped dialing entries that live. Change: DirectoryView holds what goes missing around the store's return for two seconds.

--- a/crates/mastknot_runtime/src/shared_store/entry_directory.rs
+++ b/crates/mastknot_runtime/src/shared_store/entry_directory.rs
@@ -3,9 +3,10 @@
 
 use log::{info, warn};
 use tokio::sync::watch;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, sleep_until};
 
-use super::{SharedItem, SharedLease, SharedStore, SharedStoreError};
+use super::directory_view::DirectoryView;
+use super::{SharedLease, SharedStore, SharedStoreError};
 
 /// What the directory of entries is set up with.
 #[derive(Clone, Debug)]
@@ -93,17 +94,22 @@
     settings: &DirectorySettings,
     directory: &watch::Sender<Directory>,
 ) {
+    let mut view = DirectoryView::default();
     loop {
         let Ok(list) = store.list(&settings.prefix).await else {
+            view.note_failure();
             sleep(settings.retry_pause).await;
             continue;
         };
-        let mut entries = Directory::new();
+        let now = Instant::now();
+        view.note_success(now);
+        let mut listed = DirectoryView::default();
         for item in list.items {
-            apply(&settings.prefix, &mut entries, item);
+            listed.apply(now, &settings.prefix, item);
         }
-        publish(directory, &entries);
-        follow_from(store, settings, directory, entries, list.revision).await;
+        view.replace(now, listed.entries().clone());
+        publish(directory, view.entries());
+        follow_from(store, settings, directory, &mut view, list.revision).await;
     }
 }
 
@@ -111,44 +117,41 @@
     store: &S,
     settings: &DirectorySettings,
     directory: &watch::Sender<Directory>,
-    mut entries: Directory,
+    view: &mut DirectoryView,
     mut after: u64,
 ) {
     // A watch that has been quiet for long is no proof: list again now and then.
-    let limit = settings.watch_wait * 2;
-    let watching = async {
-        loop {
-            match store
-                .watch(&settings.prefix, after, settings.watch_wait)
-                .await
-            {
-                Ok(changes) => {
-                    after = after.max(changes.revision);
-                    for item in changes.items {
-                        apply(&settings.prefix, &mut entries, item);
-                    }
-                    publish(directory, &entries);
+    let ends = Instant::now() + settings.watch_wait * 2;
+    while Instant::now() < ends {
+        let watched = store.watch(&settings.prefix, after, settings.watch_wait);
+        let next_change = async {
+            match view.next_expiry() {
+                Some(at) => sleep_until(at.min(ends)).await,
+                None => sleep_until(ends).await,
+            }
+        };
+        let result = tokio::select! {
+            result = watched => Some(result),
+            () = next_change => None,
+        };
+        let now = Instant::now();
+        match result {
+            Some(Ok(changes)) => {
+                view.note_success(now);
+                after = after.max(changes.revision);
+                for item in changes.items {
+                    view.apply(now, &settings.prefix, item);
                 }
-                Err(SharedStoreError::HistoryGone) => return,
-                Err(_) => sleep(settings.retry_pause).await,
             }
+            Some(Err(SharedStoreError::HistoryGone)) => return,
+            Some(Err(_)) => {
+                view.note_failure();
+                sleep(settings.retry_pause).await;
+            }
+            None => {}
         }
-    };
-    let _ = timeout(limit, watching).await;
-}
-
-fn apply(prefix: &str, entries: &mut Directory, item: SharedItem) {
-    let Some(name) = item.key.strip_prefix(prefix) else {
-        return;
-    };
-    match item.value.map(String::from_utf8) {
-        Some(Ok(value)) => {
-            entries.insert(name.to_owned(), value);
-        }
-        Some(Err(_)) => {}
-        None => {
-            entries.remove(name);
-        }
+        view.expire(Instant::now());
+        publish(directory, view.entries());
     }
 }
 
--- a/crates/mastknot_runtime/src/shared_store/mod.rs
+++ b/crates/mastknot_runtime/src/shared_store/mod.rs
@@ -1,6 +1,7 @@
 //! The platform's key-value service as the product sees it; adapters implement it.
 
 mod config_feed;
+mod directory_view;
 mod entry_directory;
 mod shared_item;
 mod shared_store_error;
