--- a/crates/mastknot_core/src/scheduler/placing.rs
+++ b/crates/mastknot_core/src/scheduler/placing.rs
@@ -221,6 +221,7 @@
     let capacity = capacity.unwrap_or_default();
     let used = capacity.without(&side.free()).with(&spec.room);
     let mut score = used.permille_of(&capacity);
+    score += side.distance;
     if job.tasks[task].avoided.contains(name) {
         score += AVOIDED_PENALTY;
     }
--- a/crates/mastknot_core/src/scheduler/side_links.rs
+++ b/crates/mastknot_core/src/scheduler/side_links.rs
@@ -14,6 +14,8 @@
 
 /// So many sides are told at once that tasks wait.
 const TOLD_FIRST: usize = 8;
+/// The most that a task pays for a side that its entry does not prefer.
+const MAX_DISTANCE: u32 = 400;
 /// Heartbeats that would be due within this time are sent together: each wake-up has its cost.
 const SENT_TOGETHER: Duration = Duration::from_millis(25);
 
@@ -43,6 +45,7 @@
         let replaced = view.session.take();
         view.incarnation = hello.incarnation;
         view.hall = hello.hall.clone();
+        view.distance = distance(&self.settings.entry, &hello.side);
         view.take_session(now, session);
         let remembered_target = view.target.clone();
         if let Some(replaced) = replaced {
@@ -234,6 +237,18 @@
     }
 }
 
+/// A fixed number for each pair of an entry and a side: entries that see the same room then begin
+/// with different sides, and seldom send their starts to the same place.
+fn distance(entry: &NodeName, side: &NodeName) -> u32 {
+    const FNV_OFFSET: u32 = 0x811c_9dc5;
+    const FNV_PRIME: u32 = 0x0100_0193;
+    let bytes = entry.as_str().bytes().chain(side.as_str().bytes());
+    let hash = bytes.fold(FNV_OFFSET, |hash, byte| {
+        (hash ^ u32::from(byte)).wrapping_mul(FNV_PRIME)
+    });
+    (hash >> 8) % MAX_DISTANCE
+}
+
 fn lost_run(run: RunId) -> EndedRun {
     EndedRun {
         run,
--- a/crates/mastknot_core/src/scheduler/side_view.rs
+++ b/crates/mastknot_core/src/scheduler/side_view.rs
@@ -19,6 +19,8 @@
     pub(crate) session: Option<SessionId>,
     pub(crate) incarnation: Incarnation,
     pub(crate) hall: Hall,
+    /// What this entry's tasks pay for it, in thousandths of a target: each entry prefers others.
+    pub(crate) distance: u32,
     pub(crate) is_resumed: bool,
     pub(crate) heard: Moment,
     pub(crate) heard_number: u64,
@@ -41,6 +43,7 @@
             session: None,
             incarnation,
             hall,
+            distance: 0,
             is_resumed: false,
             heard: now,
             heard_number: 0,
