perf(side): lost orders and looks are found by the target's own answer times

Cause: while targets leave orders unanswered, a lost order kept its room for 50 ms before it was looked for, and a lost look hid all ends of its target for up to 200 ms; tasks of 60 ms have 96 ms to spare.

--- a/crates/mastknot_core/src/agent/agent_effect.rs
+++ b/crates/mastknot_core/src/agent/agent_effect.rs
@@ -31,6 +31,8 @@
         token: u64,
         /// The life of the target that is meant.
         target: Option<TargetId>,
+        /// Without an answer after this the order is looked for.
+        limit: Duration,
     },
     /// Order the target to stop a run.
     StopRun {
@@ -38,6 +40,8 @@
         run: RunId,
         /// The fencing token.
         token: u64,
+        /// Without an answer after this it is sent again.
+        limit: Duration,
     },
     /// Look at the target, and renew its hold if a time is given.
     Look {
@@ -53,6 +57,8 @@
         wait: Duration,
         /// The life of the target that is meant.
         target: Option<TargetId>,
+        /// Without an answer after this the look has failed.
+        limit: Duration,
     },
     /// These entries are known; dial those that have no link.
     Entries(Vec<KnownEntry>),
--- a/crates/mastknot_core/src/agent/agent_settings.rs
+++ b/crates/mastknot_core/src/agent/agent_settings.rs
@@ -38,7 +38,7 @@
             incarnation,
             hall,
             terms: LeaseTerms::default(),
-            look_wait: Duration::from_millis(100),
+            look_wait: Duration::from_millis(60),
             stall_limit: Duration::from_millis(300),
             stop_retry: Duration::from_millis(100),
             eager_report_delay: Duration::from_millis(4),
--- a/crates/mastknot_core/src/agent/mod.rs
+++ b/crates/mastknot_core/src/agent/mod.rs
@@ -8,6 +8,7 @@
 mod agent_effect;
 mod agent_event;
 mod agent_settings;
+mod answer_times;
 mod offers;
 mod orders;
 mod owners;
--- a/crates/mastknot_core/src/agent/orders.rs
+++ b/crates/mastknot_core/src/agent/orders.rs
@@ -169,6 +169,7 @@
             hold_until_ms,
             token: self.link.token.unwrap_or_default(),
             target: self.target_id(),
+            limit: self.answers.limit(),
         });
     }
 
@@ -236,7 +237,9 @@
 
     pub(super) fn send_stop(&mut self, run: RunId) {
         let token = self.link.token.unwrap_or_default();
-        self.effects.push(AgentEffect::StopRun { run, token });
+        let limit = self.answers.limit();
+        self.effects
+            .push(AgentEffect::StopRun { run, token, limit });
     }
 
     pub(super) fn retry_stops(&mut self, now: Moment) {
@@ -291,6 +294,7 @@
         {
             run.phase = RunPhase::Running;
             run.progressed = now;
+            self.answers.note(now.since(run.since));
         }
     }
 
--- a/crates/mastknot_core/src/agent/target_agent.rs
+++ b/crates/mastknot_core/src/agent/target_agent.rs
@@ -1,5 +1,6 @@
 use indexmap::IndexMap;
 
+use super::answer_times::AnswerTimes;
 use super::owners::{Owner, OwnerKey};
 use super::target_link::TargetLink;
 use super::{
@@ -41,6 +42,7 @@
     pub(super) survivors_stopped: Option<Moment>,
     pub(super) link: TargetLink,
     pub(super) health: TargetHealth,
+    pub(super) answers: AnswerTimes,
     pub(super) runs: RunTable,
     /// Runs of an earlier life of this process that no entry has taken over yet.
     pub(super) survivors: IndexMap<RunId, u8>,
@@ -73,6 +75,7 @@
             survivors_stopped: None,
             link: TargetLink::default(),
             health: TargetHealth::default(),
+            answers: AnswerTimes::default(),
             runs: RunTable::default(),
             survivors: IndexMap::new(),
             orphaned_ends: Vec::new(),
--- a/crates/mastknot_core/src/agent/views.rs
+++ b/crates/mastknot_core/src/agent/views.rs
@@ -24,6 +24,8 @@
 const FRESH_LOOK: Duration = Duration::from_millis(250);
 /// How long a look waits on whose outcome a decision depends.
 const OPEN_LOOK_WAIT: Duration = Duration::from_millis(10);
+/// A look carries more than an order and may take so many times as long, besides its own wait.
+const LOOK_MARGIN: u32 = 2;
 /// The most ends that wait for entries to say who they are.
 const MAX_ORPHANED_ENDS: usize = 2_000;
 
@@ -85,6 +87,7 @@
             last_seen: self.link.last_seen,
             wait,
             target: self.target_id(),
+            limit: wait + self.answers.limit() * LOOK_MARGIN,
         });
     }
 
--- a/crates/mastknot_side/src/agent/agent_actor.rs
+++ b/crates/mastknot_side/src/agent/agent_actor.rs
@@ -233,14 +233,16 @@
                 hold_until_ms,
                 token,
                 target,
+                limit,
             } => self.order(StartCall {
                 run,
                 payload,
                 hold_until_ms,
                 token,
                 target,
+                limit,
             }),
-            AgentEffect::StopRun { run, token } => self.stop(StopCall { run, token }),
+            AgentEffect::StopRun { run, token, limit } => self.stop(StopCall { run, token, limit }),
             AgentEffect::Look {
                 number,
                 hold_until_ms,
@@ -248,6 +250,7 @@
                 last_seen,
                 wait,
                 target,
+                limit,
             } => self.look(
                 number,
                 LookCall {
@@ -256,6 +259,7 @@
                     last_seen,
                     wait,
                     target,
+                    limit,
                 },
             ),
             AgentEffect::Entries(entries) => self.dial_all(&entries),
--- a/crates/mastknot_side/src/agent/target_port.rs
+++ b/crates/mastknot_side/src/agent/target_port.rs
@@ -18,6 +18,8 @@
     pub token: u64,
     /// The life of the target that is meant.
     pub target: Option<TargetId>,
+    /// How long an answer may take.
+    pub limit: Duration,
 }
 
 /// An order to stop a run.
@@ -27,6 +29,8 @@
     pub run: RunId,
     /// The fencing token.
     pub token: u64,
+    /// How long an answer may take.
+    pub limit: Duration,
 }
 
 /// A look at the target.
@@ -42,6 +46,8 @@
     pub wait: Duration,
     /// The life of the target that is meant.
     pub target: Option<TargetId>,
+    /// How long an answer may take, its own wait included.
+    pub limit: Duration,
 }
 
 /// How a side speaks to its target; adapters implement it. Each call answers in bounded time.
--- a/crates/mastknot_virtual/src/jobs/job_system.rs
+++ b/crates/mastknot_virtual/src/jobs/job_system.rs
@@ -17,10 +17,6 @@
 pub(super) const LINK_DELAY: u64 = 900;
 /// One way between a side and its target.
 pub(super) const TARGET_DELAY: u64 = 100;
-/// After this a side gives up an order without an answer.
-pub(super) const ORDER_LIMIT: u64 = 50_000;
-/// The same for a look, besides its own wait.
-pub(super) const LOOK_LIMIT: u64 = 100_000;
 /// Between two dials.
 pub(super) const DIAL_PAUSE: u64 = 30_000;
 /// Between two heartbeats of a target.
@@ -85,6 +81,8 @@
     pub(super) number: u64,
     pub(super) life: u64,
     pub(super) look: VirtualLook,
+    /// After this the side gives it up.
+    pub(super) limit: u64,
 }
 
 #[derive(Clone, Copy, Debug, Default)]
--- a/crates/mastknot_virtual/src/jobs/processes.rs
+++ b/crates/mastknot_virtual/src/jobs/processes.rs
@@ -134,6 +134,7 @@
                 hold_until_ms,
                 token,
                 target,
+                limit,
                 ..
             } => {
                 let room = Room {
@@ -150,9 +151,11 @@
                     token,
                     target,
                 };
-                self.order_start(side, life, start);
+                self.order_start(side, life, start, limit.as_micros() as u64);
+            }
+            AgentEffect::StopRun { run, token, limit } => {
+                self.order_stop(side, life, run, token, limit.as_micros() as u64);
             }
-            AgentEffect::StopRun { run, token } => self.order_stop(side, life, run, token),
             AgentEffect::Look {
                 number,
                 hold_until_ms,
@@ -160,6 +163,7 @@
                 last_seen,
                 wait,
                 target,
+                limit,
             } => {
                 let look = VirtualLook {
                     hold_until_ms,
@@ -167,7 +171,13 @@
                     last_seen,
                     target,
                 };
-                let open = OpenLook { number, life, look };
+                let limit = limit.as_micros() as u64;
+                let open = OpenLook {
+                    number,
+                    life,
+                    look,
+                    limit,
+                };
                 self.order_look(side, open, wait.as_micros() as u64);
             }
             AgentEffect::Entries(_)
--- a/crates/mastknot_virtual/src/jobs/targets.rs
+++ b/crates/mastknot_virtual/src/jobs/targets.rs
@@ -6,9 +6,7 @@
 use mastknot_core::job::{Room, RunId, TargetId, TargetProfile};
 use rand::RngExt;
 
-use super::job_system::{
-    Act, BEAT, CallFate, JobSystem, LOOK_LIMIT, MILLI, ORDER_LIMIT, OpenLook, TARGET_DELAY,
-};
+use super::job_system::{Act, BEAT, CallFate, JobSystem, MILLI, OpenLook, TARGET_DELAY};
 use super::virtual_target::{TargetMood, VirtualStart, VirtualTarget};
 
 impl JobSystem {
@@ -78,7 +76,7 @@
         self.later(delay, Act::SideInput { side, life, event });
     }
 
-    pub(super) fn order_start(&mut self, side: usize, life: u64, start: VirtualStart) {
+    pub(super) fn order_start(&mut self, side: usize, life: u64, start: VirtualStart, limit: u64) {
         let run = start.run;
         let start = Box::new(start);
         let outcome = |outcome| AgentEvent::OrderAnswered { run, outcome };
@@ -92,14 +90,14 @@
             CallFate::Done => self.later(TARGET_DELAY, arrives(true)),
             CallFate::Unanswered => {
                 self.later(TARGET_DELAY, arrives(false));
-                self.side_input(ORDER_LIMIT, side, life, outcome(OrderOutcome::NoAnswer));
+                self.side_input(limit, side, life, outcome(OrderOutcome::NoAnswer));
             }
             CallFate::Late(delay) => {
                 self.later(delay, arrives(false));
-                self.side_input(ORDER_LIMIT, side, life, outcome(OrderOutcome::NoAnswer));
+                self.side_input(limit, side, life, outcome(OrderOutcome::NoAnswer));
             }
             CallFate::Lost => {
-                self.side_input(ORDER_LIMIT, side, life, outcome(OrderOutcome::NoAnswer));
+                self.side_input(limit, side, life, outcome(OrderOutcome::NoAnswer));
             }
             CallFate::Refused => {
                 self.side_input(TARGET_DELAY, side, life, outcome(OrderOutcome::Unreachable));
@@ -107,7 +105,14 @@
         }
     }
 
-    pub(super) fn order_stop(&mut self, side: usize, life: u64, run: RunId, token: u64) {
+    pub(super) fn order_stop(
+        &mut self,
+        side: usize,
+        life: u64,
+        run: RunId,
+        token: u64,
+        limit: u64,
+    ) {
         let failed = AgentEvent::StopAnswered {
             run,
             is_acknowledged: false,
@@ -123,13 +128,13 @@
             CallFate::Done => self.later(TARGET_DELAY, arrives(true)),
             CallFate::Unanswered => {
                 self.later(TARGET_DELAY, arrives(false));
-                self.side_input(ORDER_LIMIT, side, life, failed);
+                self.side_input(limit, side, life, failed);
             }
             CallFate::Late(delay) => {
                 self.later(delay, arrives(false));
-                self.side_input(ORDER_LIMIT, side, life, failed);
+                self.side_input(limit, side, life, failed);
             }
-            CallFate::Lost => self.side_input(ORDER_LIMIT, side, life, failed),
+            CallFate::Lost => self.side_input(limit, side, life, failed),
             CallFate::Refused => self.side_input(TARGET_DELAY, side, life, failed),
         }
     }
@@ -149,7 +154,8 @@
                 self.side_input(TARGET_DELAY, side, life, looked(LookFailure::Refused));
             }
             CallFate::Late(_) | CallFate::Unanswered | CallFate::Lost => {
-                self.side_input(wait + LOOK_LIMIT, side, life, looked(LookFailure::Silent));
+                let limit = open.limit;
+                self.side_input(limit, side, life, looked(LookFailure::Silent));
             }
         }
     }
@@ -295,7 +301,7 @@
                 number: open.number,
                 result: Err(failure),
             };
-            self.side_input(LOOK_LIMIT, side, open.life, event);
+            self.side_input(open.limit, side, open.life, event);
         }
     }
 }
