perf(entry): order by priority, begun jobs first, expected times from history, and an end of patience

Change: OrderKey is outlook, priority, begun, latest start; a late job of which a fifth is left counts as in time; RunTimes predicts a step from the queue's history and the guess; a job untouched for 0.45 of its caller's time is refused with when to come back.

--- a/crates/mastknot_core/src/scheduler/active_job.rs
+++ b/crates/mastknot_core/src/scheduler/active_job.rs
@@ -6,6 +6,9 @@
 use crate::job::{AttemptNumbers, JobRequest, QueuePolicy, StepSpec, TaskRef};
 use crate::types::{Moment, NodeName};
 
+/// A job is nearly done when at most one part in so many of its tasks is left.
+const NEARLY_DONE_PARTS: usize = 5;
+
 /// Where a task stands.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum TaskState {
@@ -28,6 +31,8 @@
     pub(crate) failures: u32,
     /// Sides where it failed or stood still.
     pub(crate) avoided: Vec<NodeName>,
+    /// How long the run took that did its work.
+    pub(crate) ran: Duration,
 }
 
 /// A job that has not been answered, or of which something may still run.
@@ -41,6 +46,10 @@
     pub(crate) deadline: Moment,
     pub(crate) times: JobTimes,
     pub(crate) tasks: Vec<ActiveTask>,
+    /// How long each step is expected to take.
+    pub(crate) expected: Vec<Duration>,
+    /// From then on it is refused if nothing of it has begun.
+    pub(crate) patience_ends: Moment,
     pub(crate) attempts: AttemptNumbers,
     pub(crate) first_start: Option<Moment>,
     /// Starts ordered, and how many of them are known not to have begun.
@@ -67,6 +76,7 @@
                     state: TaskState::Blocked,
                     failures: 0,
                     avoided: Vec::new(),
+                    ran: Duration::ZERO,
                 });
             }
         }
@@ -127,7 +137,24 @@
         self.starts > self.not_begun
     }
 
-    /// The longest chain of work that is left, by the callers' guesses.
+    /// The longest time that a task of a finished step took.
+    pub(crate) fn longest_run(&self, step: u16) -> Option<Duration> {
+        let of_step = self.tasks.iter().filter(|task| task.name.step == step);
+        let ran = of_step.map(|task| (task.state == TaskState::Done).then_some(task.ran));
+        ran.collect::<Option<Vec<Duration>>>()?.into_iter().max()
+    }
+
+    /// Whether most of it is done: what is left costs little against what it is worth.
+    pub(crate) fn is_nearly_done(&self) -> bool {
+        let done = self
+            .tasks
+            .iter()
+            .filter(|task| task.state == TaskState::Done);
+        let left = self.tasks.len() - done.count();
+        left * NEARLY_DONE_PARTS <= self.tasks.len()
+    }
+
+    /// The longest chain of work that is left, by what its steps are expected to take.
     pub(crate) fn remaining_chain(&self) -> Duration {
         let mut ends = vec![Duration::ZERO; self.request.steps.len()];
         for (step, spec) in self.request.steps.iter().enumerate() {
@@ -138,7 +165,7 @@
                 .max();
             let own = match self.is_step_done(step) {
                 true => Duration::ZERO,
-                false => spec.estimate,
+                false => self.expected[step],
             };
             ends[step] = before.unwrap_or_default() + own;
         }
--- a/crates/mastknot_core/src/scheduler/job_ends.rs
+++ b/crates/mastknot_core/src/scheduler/job_ends.rs
@@ -1,6 +1,7 @@
 //! Ends of runs and of jobs.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use super::SchedulerDecision;
 use super::active_job::TaskState;
@@ -36,7 +37,10 @@
         let task = &mut job.tasks[place];
         task.state = TaskState::Waiting;
         match ended.end {
-            EndOfRun::Done => task.state = TaskState::Done,
+            EndOfRun::Done => {
+                task.state = TaskState::Done;
+                task.ran = Duration::from_millis(u64::from(ended.ran_ms));
+            }
             EndOfRun::Failed { is_target_suspect } => {
                 task.failures += u32::from(!is_target_suspect);
                 task.avoid(side);
@@ -63,9 +67,24 @@
         if has_failed {
             self.answer(now, id, JobAnswer::Failed);
         }
+        if ended.end == EndOfRun::Done {
+            self.learn_run_time(id, run.task.step);
+        }
         self.after_end(now, id, ended.end);
     }
 
+    /// A step that is done shows how long its queue's steps take.
+    fn learn_run_time(&mut self, id: JobId, step: u16) {
+        let Some(job) = self.jobs.get(&id) else {
+            return;
+        };
+        if let Some(ran) = job.longest_run(step)
+            && let Some(spec) = job.request.steps.get(usize::from(step))
+        {
+            self.run_times.note(&job.policy.name, spec.estimate, ran);
+        }
+    }
+
     fn after_end(&mut self, now: Moment, id: JobId, end: EndOfRun) {
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
--- a/crates/mastknot_core/src/scheduler/job_scheduler.rs
+++ b/crates/mastknot_core/src/scheduler/job_scheduler.rs
@@ -3,6 +3,7 @@
 use indexmap::IndexMap;
 
 use super::active_job::ActiveJob;
+use super::run_times::RunTimes;
 use super::side_view::SideView;
 use super::{
     CallerId, OrderKey, SchedulerCounters, SchedulerDecision, SchedulerEffect, SchedulerEvent,
@@ -22,11 +23,14 @@
     pub(super) callers: HashMap<CallerId, JobId>,
     pub(super) waiting: BTreeMap<OrderKey, JobId>,
     pub(super) deadlines: BTreeSet<(Moment, JobId)>,
+    /// When jobs are refused of which nothing has begun.
+    pub(super) patience: BTreeSet<(Moment, JobId)>,
     pub(super) sides: IndexMap<NodeName, SideView>,
     pub(super) sessions: HashMap<SessionId, NodeName>,
     pub(super) entries: Vec<KnownEntry>,
     pub(super) document: Option<ConfigDocument>,
     pub(super) next_sequence: u64,
+    pub(super) run_times: RunTimes,
     /// When the last event was handled.
     pub(super) handled: Moment,
     pub(super) has_told_waiting: bool,
@@ -45,11 +49,13 @@
             callers: HashMap::new(),
             waiting: BTreeMap::new(),
             deadlines: BTreeSet::new(),
+            patience: BTreeSet::new(),
             sides: IndexMap::new(),
             sessions: HashMap::new(),
             entries: Vec::new(),
             document: None,
             next_sequence: 0,
+            run_times: RunTimes::default(),
             handled: Moment::default(),
             has_told_waiting: false,
             next_told: 0,
@@ -64,6 +70,7 @@
     pub fn step(&mut self, now: Moment, event: SchedulerEvent) -> Vec<SchedulerEffect> {
         self.handled = now;
         self.expire_jobs(now);
+        self.end_patience(now);
         self.end_silent_links(now);
         self.handle(now, event);
         self.end_lost_runs(now);
@@ -168,6 +175,7 @@
     pub fn next_tick(&self) -> Option<Moment> {
         let terms = &self.settings.terms;
         let deadline = self.deadlines.first().map(|(at, _)| *at);
+        let patience = self.patience.first().map(|(at, _)| *at);
         let sides = self.sides.values().filter_map(|side| match side.session {
             Some(_) => {
                 let beat = side.beat_sent + terms.heartbeat;
@@ -179,6 +187,11 @@
         // The first waiting job's outlook worsens then.
         let outlook = self.waiting.keys().next().map(|key| key.latest_start);
         let outlook = outlook.filter(|at| *at > self.handled);
-        deadline.into_iter().chain(sides).chain(outlook).min()
+        deadline
+            .into_iter()
+            .chain(patience)
+            .chain(sides)
+            .chain(outlook)
+            .min()
     }
 }
--- a/crates/mastknot_core/src/scheduler/order_key.rs
+++ b/crates/mastknot_core/src/scheduler/order_key.rs
@@ -1,5 +1,6 @@
 use std::time::Duration;
 
+use super::active_job::ActiveJob;
 use crate::types::Moment;
 
 /// What a job can still earn.
@@ -18,6 +19,10 @@
 pub struct OrderKey {
     /// What can still be in time goes before what can't.
     pub outlook: Outlook,
+    /// The queue's priority; lower ones go first.
+    pub priority: u32,
+    /// Whether nothing of it has begun: what has begun is finished first.
+    pub is_new: bool,
     /// The last moment to start the longest remaining work, for this outlook.
     pub latest_start: Moment,
     /// The order of arrival.
@@ -33,9 +38,21 @@
     pub(crate) late: Moment,
 }
 
+/// Priorities from this one on count alike in [`OrderKey::rank`].
+const LOWEST_PRIORITY: u32 = 15;
+
+impl OrderKey {
+    /// Outlook and priority in one number: the lowest is the most urgent.
+    pub fn rank(&self) -> u8 {
+        let priority = self.priority.min(LOWEST_PRIORITY);
+        self.outlook as u8 * (LOWEST_PRIORITY as u8 + 1) + priority as u8
+    }
+}
+
 impl JobTimes {
-    /// The place of a job whose longest remaining chain of work takes `chain`.
-    pub(crate) fn key(&self, now: Moment, chain: Duration, sequence: u64) -> OrderKey {
+    /// What a job can still earn whose longest remaining chain of work takes `chain`, and the last
+    /// moment to start it.
+    pub(crate) fn outlook(&self, now: Moment, chain: Duration) -> (Outlook, Moment) {
         let end = now + chain;
         let (outlook, by) = if end <= self.objective {
             (Outlook::InTime, self.objective)
@@ -44,10 +61,24 @@
         } else {
             (Outlook::Hopeless, self.late)
         };
+        (outlook, by - chain)
+    }
+}
+
+impl ActiveJob {
+    /// Its place among the waiting jobs.
+    pub(crate) fn order_key(&self, now: Moment) -> OrderKey {
+        let (outlook, latest_start) = self.times.outlook(now, self.remaining_chain());
+        let outlook = match outlook {
+            Outlook::Late if self.is_nearly_done() => Outlook::InTime,
+            outlook => outlook,
+        };
         OrderKey {
             outlook,
-            latest_start: by - chain,
-            sequence,
+            priority: self.policy.priority,
+            is_new: !self.may_have_begun(),
+            latest_start,
+            sequence: self.sequence,
         }
     }
 }
--- a/crates/mastknot_core/src/scheduler/placing.rs
+++ b/crates/mastknot_core/src/scheduler/placing.rs
@@ -50,10 +50,10 @@
     /// What waits here, as far as it is as urgent as the first of it.
     pub(super) fn waiting_need(&self) -> Option<WaitingNeed> {
         let (first, _) = self.waiting.first_key_value()?;
-        let outlook = first.outlook;
+        let rank = first.rank();
         let mut need: Option<WaitingNeed> = None;
         for (key, id) in self.waiting.iter().take(MAX_SCANNED) {
-            if key.outlook != outlook {
+            if key.rank() != rank {
                 break;
             }
             let Some(job) = self.jobs.get(id) else {
@@ -62,7 +62,7 @@
             for task in job.waiting() {
                 let room = job.step(task).room;
                 let so_far = need.get_or_insert(WaitingNeed {
-                    rank: outlook as u8,
+                    rank,
                     room: Room::default(),
                     smallest: room,
                 });
--- /dev/null
+++ b/crates/mastknot_core/src/scheduler/run_times.rs
@@ -0,0 +1,64 @@
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// The weight of a new time against the mean so far.
+const WEIGHT: f64 = 1.0 / 64.0;
+/// So many steps must have ended before their times are used.
+const ENOUGH: u32 = 16;
+/// How much of a caller's guess is believed: guesses and times scatter about alike.
+const GUESS_EXPONENT: f64 = 0.5;
+/// A prediction stays within this factor of the caller's guess.
+const MAX_FACTOR: f64 = 4.0;
+/// The most queues whose times are kept.
+const MAX_QUEUES: usize = 1_024;
+
+/// How long the steps of each queue have taken, against the callers' guesses.
+///
+/// A step ends with its longest task, which callers do not guess. The prediction is the geometric
+/// mean of what the queue has shown and of what the caller's guess says, scaled by what the queue has
+/// shown against the guesses.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct RunTimes {
+    queues: HashMap<Arc<str>, QueueTimes>,
+}
+
+/// Means of logarithms: times scatter by factors.
+#[derive(Clone, Copy, Debug, Default)]
+struct QueueTimes {
+    steps: u32,
+    guess: f64,
+    ran: f64,
+}
+
+impl RunTimes {
+    /// A step with this guess has ended, and its longest task ran for this time.
+    pub(crate) fn note(&mut self, queue: &Arc<str>, guess: Duration, ran: Duration) {
+        if !self.queues.contains_key(queue) && self.queues.len() >= MAX_QUEUES {
+            return;
+        }
+        let times = self.queues.entry(Arc::clone(queue)).or_default();
+        times.steps = times.steps.saturating_add(1);
+        let weight = WEIGHT.max(1.0 / f64::from(times.steps));
+        times.guess += (logarithm(guess) - times.guess) * weight;
+        times.ran += (logarithm(ran) - times.ran) * weight;
+    }
+
+    /// How long a step with this guess is expected to take.
+    pub(crate) fn expect(&self, queue: &str, guess: Duration) -> Duration {
+        let Some(times) = self.queues.get(queue) else {
+            return guess;
+        };
+        if times.steps < ENOUGH || guess.is_zero() {
+            return guess;
+        }
+        let off = (logarithm(guess) - times.guess) * GUESS_EXPONENT;
+        let expected = (times.ran + off).exp();
+        let own = guess.as_secs_f64();
+        Duration::from_secs_f64(expected.clamp(own / MAX_FACTOR, own * MAX_FACTOR))
+    }
+}
+
+fn logarithm(time: Duration) -> f64 {
+    time.max(Duration::from_millis(1)).as_secs_f64().ln()
+}
--- a/crates/mastknot_core/src/scheduler/scheduler_settings.rs
+++ b/crates/mastknot_core/src/scheduler/scheduler_settings.rs
@@ -16,6 +16,8 @@
     pub answer_margin: Duration,
     /// A job is late until this many times its objective.
     pub late_factor: u32,
+    /// A job of which nothing has begun is refused after this part of its caller's time.
+    pub patience: f64,
     /// When a refused caller is told to come back.
     pub retry_after: Duration,
 }
@@ -29,6 +31,7 @@
             terms: LeaseTerms::default(),
             answer_margin: Duration::from_millis(25),
             late_factor: 3,
+            patience: 0.45,
             retry_after: Duration::from_secs(1),
         }
     }
--- a/crates/mastknot_core/src/scheduler/submitting.rs
+++ b/crates/mastknot_core/src/scheduler/submitting.rs
@@ -29,7 +29,13 @@
         }
         self.counters.jobs_taken += 1;
         self.next_sequence += 1;
+        let steps = request.steps.iter();
+        let expected = steps
+            .map(|step| self.run_times.expect(&policy.name, step.estimate))
+            .collect();
         let mut job = ActiveJob {
+            expected,
+            patience_ends: now + time_left.mul_f64(self.settings.patience),
             tasks: ActiveJob::tasks_of(&request),
             request,
             policy,
@@ -61,6 +67,7 @@
             waiting_jobs: self.waiting.len(),
         };
         self.deadlines.insert((deadline, id));
+        self.patience.insert((job.patience_ends, id));
         self.jobs.insert(id, job);
         self.decided(taken);
         self.queue_job(now, id);
@@ -116,7 +123,7 @@
             self.waiting.remove(&key);
         }
         if job.has_waiting() {
-            let key = job.times.key(now, job.remaining_chain(), job.sequence);
+            let key = job.order_key(now);
             job.key = Some(key);
             self.waiting.insert(key, id);
         }
@@ -142,6 +149,22 @@
         }
     }
 
+    /// Refuses jobs that have found no room for a good part of their callers' time: most of them
+    /// would be held in vain, and their callers could come back instead.
+    pub(super) fn end_patience(&mut self, now: Moment) {
+        while let Some((at, id)) = self.patience.first().copied() {
+            if at > now {
+                return;
+            }
+            self.patience.pop_first();
+            let is_due = |job: &ActiveJob| job.patience_ends == at && !job.may_have_begun();
+            if self.jobs.get(&id).is_some_and(is_due) {
+                let retry_after = self.settings.retry_after;
+                self.answer(now, id, JobAnswer::Refused { retry_after });
+            }
+        }
+    }
+
     pub(super) fn abandon(&mut self, now: Moment, caller: CallerId) {
         let Some(id) = self.callers.remove(&caller) else {
             return;
--- a/crates/mastknot_core/tests/agent.rs
+++ b/crates/mastknot_core/tests/agent.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use common::*;
+use common::side::*;
 use mastknot_core::agent::{
     AgentEffect, AgentEvent, AgentSettings, HowEnded, LookFailure, OrderOutcome, TargetAgent,
     TargetFinished, TargetView,
--- a/crates/mastknot_core/tests/answer_times.rs
+++ b/crates/mastknot_core/tests/answer_times.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use common::*;
+use common::side::*;
 use mastknot_core::agent::{AgentEffect, AgentEvent, OrderOutcome};
 
 /// Orders one run after the other, each answered after `took_ms`; returns the last order's limit.
@@ -13,11 +13,11 @@
     let mut limit = Duration::ZERO;
     for job in first_job..first_job + 20 {
         let effects = side.order(now, ENTRY, start(job, 100));
-        let limits = effects.iter().filter_map(|effect| match effect {
+        let ordered = effects.iter().find_map(|effect| match effect {
             AgentEffect::Order { limit, .. } => Some(*limit),
             _ => None,
         });
-        limit = limits.last().expect("an order");
+        limit = ordered.expect("an order");
         let outcome = OrderOutcome::Started { clock_ms: 2_000 };
         let run = run(job);
         now += took_ms;
--- /dev/null
+++ b/crates/mastknot_core/tests/common/entry.rs
@@ -0,0 +1,194 @@
+//! An entry's core with sides, and what it is told.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use mastknot_core::job::{
+    EndOfRun, EndedRun, EntryOrder, JobAnswer, JobId, JobRequest, QueuePolicy, Room, RunId,
+    SideHello, SideReport, SideStatus, StepSpec, TargetCondition, TargetId, TargetProfile,
+};
+use mastknot_core::scheduler::{
+    CallerId, JobScheduler, SchedulerEffect, SchedulerEvent, SchedulerSettings, SessionId,
+};
+use mastknot_core::types::{Incarnation, Moment, WallTime};
+
+pub fn at(ms: u64) -> Moment {
+    Moment::from_millis(ms)
+}
+
+/// What a target has.
+pub fn target_room(cpu_millis: u32) -> Room {
+    Room {
+        cpu_millis,
+        memory_mb: 4_096,
+        accelerators: 0,
+    }
+}
+
+/// What a task takes.
+pub fn room(cpu_millis: u32) -> Room {
+    Room {
+        cpu_millis,
+        memory_mb: 64,
+        accelerators: 0,
+    }
+}
+
+pub struct Entry {
+    pub scheduler: JobScheduler,
+    number: u64,
+}
+
+impl Entry {
+    /// An entry with sides whose targets have this much free processor.
+    pub fn with_sides(free: &[u32]) -> Self {
+        let settings = SchedulerSettings::new("entry-1".into(), Incarnation(1));
+        let mut entry = Self {
+            scheduler: JobScheduler::new(settings),
+            number: 0,
+        };
+        for (side, cpu_millis) in free.iter().enumerate() {
+            entry.join(0, side as u64, *cpu_millis);
+        }
+        entry
+    }
+
+    pub fn join(&mut self, ms: u64, side: u64, cpu_millis: u32) {
+        let hello = SideHello {
+            side: format!("side-{side}").as_str().into(),
+            incarnation: Incarnation(1),
+            hall: "hall".into(),
+            document: None,
+        };
+        self.reports(ms, side, vec![SideReport::Hello(hello)]);
+        let running = Vec::new();
+        let ended = Vec::new();
+        self.reports(ms, side, vec![SideReport::Resume { running, ended }]);
+        let profile = TargetProfile {
+            id: TargetId(Arc::from(format!("target-{side}"))),
+            service: Arc::from("service"),
+            capacity: target_room(16_000),
+            labels: Vec::new(),
+        };
+        self.status(ms, side, cpu_millis, 0, Some(profile), Vec::new());
+    }
+
+    pub fn reports(
+        &mut self,
+        ms: u64,
+        side: u64,
+        reports: Vec<SideReport>,
+    ) -> Vec<SchedulerEffect> {
+        let session = SessionId(side);
+        let event = SchedulerEvent::FromSide { session, reports };
+        self.scheduler.step(at(ms), event)
+    }
+
+    pub fn status(
+        &mut self,
+        ms: u64,
+        side: u64,
+        cpu_millis: u32,
+        starts_included: u64,
+        target: Option<TargetProfile>,
+        ended: Vec<EndedRun>,
+    ) -> Vec<SchedulerEffect> {
+        self.number += 1;
+        let status = SideStatus {
+            is_offer: false,
+            number: self.number,
+            starts_included,
+            free: target_room(cpu_millis),
+            condition: TargetCondition::Ready,
+            pace_percent: 100,
+            target,
+            ended,
+        };
+        self.reports(ms, side, vec![SideReport::Status(status)])
+    }
+
+    pub fn submit(
+        &mut self,
+        ms: u64,
+        caller: u64,
+        job: JobRequest,
+        left: u64,
+    ) -> Vec<SchedulerEffect> {
+        self.submit_as(ms, caller, job, left, 0)
+    }
+
+    /// Submits a job of a queue with a priority.
+    pub fn submit_as(
+        &mut self,
+        ms: u64,
+        caller: u64,
+        job: JobRequest,
+        left: u64,
+        priority: u32,
+    ) -> Vec<SchedulerEffect> {
+        let policy = QueuePolicy {
+            name: Arc::from("queue"),
+            service: Arc::from("service"),
+            priority,
+            max_attempts: 2,
+            stretch: 1.6,
+            allowance: Duration::from_millis(60),
+            version: 1,
+        };
+        let event = SchedulerEvent::Submit {
+            caller: CallerId(caller),
+            job,
+            policy: Arc::new(policy),
+            time_left: Duration::from_millis(left),
+            wall: WallTime::from_millis(1_700_000_000_000),
+        };
+        self.scheduler.step(at(ms), event)
+    }
+}
+
+pub fn job(id: u64, tasks: u16, millis: u64) -> JobRequest {
+    JobRequest {
+        id: JobId(id),
+        request_id: Arc::from("request"),
+        payload: Arc::from("text"),
+        steps: vec![StepSpec {
+            count: tasks,
+            room: room(1_600),
+            estimate: Duration::from_millis(millis),
+            ..StepSpec::default()
+        }],
+    }
+}
+
+pub fn starts(effects: &[SchedulerEffect]) -> Vec<(u64, RunId)> {
+    let starts = effects.iter().filter_map(|effect| match effect {
+        SchedulerEffect::Send {
+            session,
+            order: EntryOrder::Start(start),
+        } => Some((session.0, start.run)),
+        _ => None,
+    });
+    starts.collect()
+}
+
+pub fn answers(effects: &[SchedulerEffect]) -> Vec<(u64, JobAnswer)> {
+    let answers = effects.iter().filter_map(|effect| match effect {
+        SchedulerEffect::Answer { caller, answer } => Some((caller.0, *answer)),
+        _ => None,
+    });
+    answers.collect()
+}
+
+pub fn ended(run: RunId, end: EndOfRun) -> EndedRun {
+    EndedRun {
+        run,
+        end,
+        ran_ms: 10,
+    }
+}
+
+pub fn failed() -> EndOfRun {
+    EndOfRun::Failed {
+        is_target_suspect: false,
+    }
+}
--- /dev/null
+++ b/crates/mastknot_core/tests/common/side.rs
@@ -0,0 +1,174 @@
+//! A side's core with a target that is known and free, and what it is told.
+
+use std::sync::Arc;
+
+use mastknot_core::agent::{
+    AgentEffect, AgentEvent, AgentSettings, SessionId, TargetAgent, TargetFinished, TargetView,
+};
+use mastknot_core::job::{
+    EndOfRun, EntryOrder, EntryWelcome, JobId, Room, RunId, SideReport, StartOrder, TargetId,
+    TargetProfile, TaskRef,
+};
+use mastknot_core::types::{Incarnation, Moment};
+
+pub const ENTRY: SessionId = SessionId(1);
+pub const OTHER: SessionId = SessionId(2);
+
+pub fn at(ms: u64) -> Moment {
+    Moment::from_millis(ms)
+}
+
+pub fn cpu(cpu_millis: u32) -> Room {
+    Room {
+        cpu_millis,
+        memory_mb: 64,
+        accelerators: 0,
+    }
+}
+
+pub fn run(job: u64) -> RunId {
+    let task = TaskRef {
+        job: JobId(job),
+        step: 0,
+        index: 0,
+    };
+    RunId { task, attempt: 1 }
+}
+
+pub fn profile() -> TargetProfile {
+    TargetProfile {
+        id: TargetId(Arc::from("target-1")),
+        service: Arc::from("service"),
+        capacity: Room {
+            cpu_millis: 4_000,
+            memory_mb: 4_096,
+            accelerators: 0,
+        },
+        labels: Vec::new(),
+    }
+}
+
+pub fn welcome(name: &str, incarnation: u64) -> EntryOrder {
+    EntryOrder::Welcome(EntryWelcome {
+        entry: name.into(),
+        incarnation: Incarnation(incarnation),
+        remembered_target: None,
+        entries: Vec::new(),
+        document: None,
+    })
+}
+
+pub fn start(job: u64, cpu_millis: u32) -> EntryOrder {
+    EntryOrder::Start(StartOrder {
+        run: run(job),
+        payload: Arc::from("text"),
+        room: cpu(cpu_millis),
+        estimate_ms: 100,
+    })
+}
+
+pub struct Side {
+    pub agent: TargetAgent,
+}
+
+impl Side {
+    /// A side whose target is known and free, linked to one entry at 1,000 ms.
+    pub fn ready() -> Self {
+        let settings = AgentSettings::new("side-1".into(), Incarnation(1), "hall".into());
+        let mut side = Self {
+            agent: TargetAgent::new(settings),
+        };
+        let effects = side.step(0, AgentEvent::Tick);
+        let effects = side.answer_look(1, &effects, 1_000, Vec::new());
+        side.answer_look(3, &effects, 1_002, Vec::new());
+        let profile = profile();
+        let is_draining = false;
+        side.step(
+            4,
+            AgentEvent::TargetReported {
+                profile,
+                is_draining,
+            },
+        );
+        side.join(1_000, ENTRY, "entry-1", 1);
+        side
+    }
+
+    pub fn step(&mut self, ms: u64, event: AgentEvent) -> Vec<AgentEffect> {
+        self.agent.step(at(ms), event)
+    }
+
+    pub fn join(
+        &mut self,
+        ms: u64,
+        session: SessionId,
+        name: &str,
+        incarnation: u64,
+    ) -> Vec<AgentEffect> {
+        self.step(ms, AgentEvent::LinkUp { session });
+        self.order(ms, session, welcome(name, incarnation))
+    }
+
+    pub fn order(&mut self, ms: u64, session: SessionId, order: EntryOrder) -> Vec<AgentEffect> {
+        let orders = vec![order];
+        self.step(ms, AgentEvent::FromEntry { session, orders })
+    }
+
+    pub fn answer_look(
+        &mut self,
+        ms: u64,
+        effects: &[AgentEffect],
+        clock_ms: u64,
+        finished: Vec<TargetFinished>,
+    ) -> Vec<AgentEffect> {
+        let number = look_number(effects).expect("a look is under way");
+        let view = TargetView {
+            clock_ms,
+            running: Vec::new(),
+            finished,
+        };
+        self.step(
+            ms,
+            AgentEvent::Looked {
+                number,
+                result: Ok(view),
+            },
+        )
+    }
+}
+
+pub fn look_number(effects: &[AgentEffect]) -> Option<u64> {
+    effects.iter().find_map(|effect| match effect {
+        AgentEffect::Look { number, .. } => Some(*number),
+        _ => None,
+    })
+}
+
+pub fn ordered(effects: &[AgentEffect]) -> Vec<RunId> {
+    let orders = effects.iter().filter_map(|effect| match effect {
+        AgentEffect::Order { run, .. } => Some(*run),
+        _ => None,
+    });
+    orders.collect()
+}
+
+pub fn stopped(effects: &[AgentEffect]) -> Vec<RunId> {
+    let stops = effects.iter().filter_map(|effect| match effect {
+        AgentEffect::StopRun { run, .. } => Some(*run),
+        _ => None,
+    });
+    stops.collect()
+}
+
+pub fn ends(effects: &[AgentEffect]) -> Vec<EndOfRun> {
+    let statuses = effects.iter().filter_map(|effect| match effect {
+        AgentEffect::Send {
+            report: SideReport::Status(status),
+            ..
+        } => Some(status),
+        _ => None,
+    });
+    statuses
+        .flat_map(|status| status.ended.iter().map(|ended| ended.end))
+        .collect()
+}
--- /dev/null
+++ b/crates/mastknot_core/tests/job_order.rs
@@ -0,0 +1,103 @@
+//! Which waiting job goes first, and which one is refused.
+
+mod common;
+
+use common::entry::*;
+use mastknot_core::job::{EndOfRun, EndedRun, JobAnswer, JobId};
+use mastknot_core::scheduler::{SchedulerDecision, SchedulerEffect, SchedulerEvent};
+
+/// The jobs of which tasks are started, in order.
+fn started_jobs(effects: &[SchedulerEffect]) -> Vec<JobId> {
+    let starts = starts(effects);
+    starts.iter().map(|(_, run)| run.task.job).collect()
+}
+
+#[test]
+fn a_lower_priority_goes_first_among_what_can_be_in_time() {
+    let mut entry = Entry::with_sides(&[0]);
+    entry.submit_as(10, 1, job(1, 1, 100), 9_000, 2);
+    entry.submit_as(11, 2, job(2, 1, 100), 9_000, 0);
+    let effects = entry.status(20, 0, 1_600, 0, None, Vec::new());
+    assert_eq!(started_jobs(&effects), [JobId(2)]);
+}
+
+#[test]
+fn what_has_begun_is_finished_before_something_new_begins() {
+    let mut entry = Entry::with_sides(&[1_600]);
+    entry.submit(10, 1, job(1, 2, 400), 9_000);
+    entry.submit(11, 2, job(2, 1, 200), 9_000);
+    // The second job has to start earlier, but one task of the first one runs already.
+    let effects = entry.status(20, 0, 1_600, 1, None, Vec::new());
+    assert_eq!(started_jobs(&effects), [JobId(1)]);
+}
+
+#[test]
+fn a_job_that_is_nearly_done_is_finished_although_it_is_late() {
+    let mut entry = Entry::with_sides(&[6_400]);
+    let effects = entry.submit(10, 1, job(1, 5, 100), 9_000);
+    let done = starts(&effects).into_iter().map(|(_, run)| EndedRun {
+        ran_ms: 100,
+        ..ended(run, EndOfRun::Done)
+    });
+    entry.status(150, 0, 0, 4, None, done.collect());
+    // Its objective (160 + 60 ms) has passed for the last of its five tasks.
+    entry.submit(300, 2, job(2, 1, 100), 9_000);
+    let effects = entry.status(301, 0, 1_600, 4, None, Vec::new());
+    assert_eq!(started_jobs(&effects), [JobId(1)]);
+}
+
+#[test]
+fn a_job_that_finds_no_room_for_nearly_half_of_its_time_is_refused_with_when_to_come_back() {
+    let mut entry = Entry::with_sides(&[0]);
+    // It could still be done in time: its objective is 1,660 ms.
+    entry.submit(10, 1, job(1, 1, 1_000), 1_000);
+    entry.status(300, 0, 0, 0, None, Vec::new());
+    let before = entry.status(455, 0, 0, 0, None, Vec::new());
+    assert!(answers(&before).is_empty(), "{before:?}");
+    let after = entry.scheduler.step(at(461), SchedulerEvent::Tick);
+    let refused = |answer: &JobAnswer| matches!(answer, JobAnswer::Refused { .. });
+    assert!(
+        answers(&after)
+            .iter()
+            .any(|(caller, answer)| *caller == 1 && refused(answer))
+    );
+}
+
+#[test]
+fn a_job_that_has_begun_is_not_refused() {
+    let mut entry = Entry::with_sides(&[1_600]);
+    entry.submit(10, 1, job(1, 2, 1_000), 1_000);
+    entry.status(300, 0, 0, 1, None, Vec::new());
+    let effects = entry.scheduler.step(at(600), SchedulerEvent::Tick);
+    assert!(answers(&effects).is_empty(), "{effects:?}");
+}
+
+/// Lets a queue show that its steps take three times as long as callers guess.
+fn show_long_runs(entry: &mut Entry) {
+    let mut starts_so_far = 0;
+    for number in 0..40 {
+        let ms = 10 + number * 300;
+        let effects = entry.submit(ms, 100 + number, job(100 + number, 1, 100), 9_000);
+        starts_so_far += 1;
+        let done = starts(&effects).into_iter().map(|(_, run)| EndedRun {
+            ran_ms: 300,
+            ..ended(run, EndOfRun::Done)
+        });
+        entry.status(ms + 200, 0, 1_600, starts_so_far, None, done.collect());
+    }
+}
+
+#[test]
+fn the_objective_follows_what_the_queue_has_shown() {
+    let mut entry = Entry::with_sides(&[1_600]);
+    show_long_runs(&mut entry);
+    let effects = entry.submit(20_000, 1, job(1, 1, 100), 9_000);
+    let objectives = effects.iter().filter_map(|effect| match effect {
+        SchedulerEffect::Decided(SchedulerDecision::Taken { objective_ms, .. }) => {
+            Some(*objective_ms)
+        }
+        _ => None,
+    });
+    // 1.6 times the 300 ms that its steps take, and 60 ms more.
+    assert_eq!(objectives.collect::<Vec<u64>>(), [540]);
+}
--- a/crates/mastknot_core/tests/room_offers.rs
+++ b/crates/mastknot_core/tests/room_offers.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::*;
+use common::side::*;
 use mastknot_core::agent::{AgentEffect, AgentEvent, OrderOutcome, OrderRefusal, SessionId};
 use mastknot_core::job::{
     EndOfRun, EntryOrder, NotRunCause, RunId, SideReport, SideStatus, WaitingNeed,
