--- a/crates/mastknot_cli/src/commands/mod.rs
+++ b/crates/mastknot_cli/src/commands/mod.rs
@@ -2,12 +2,14 @@
 
 mod check;
 mod explain;
+mod explain_logs;
 mod resources;
 mod wait;
 mod watch;
 
 pub(crate) use check::check;
 pub(crate) use explain::sentence;
+pub(crate) use explain_logs::explain_logs;
 
 use std::net::SocketAddr;
 use std::time::Duration;
--- a/crates/mastknot_cli/src/main.rs
+++ b/crates/mastknot_cli/src/main.rs
@@ -16,6 +16,7 @@
     let command = options().run();
     let done = match command {
         Command::Check(check) => commands::check(&check),
+        Command::ExplainLogs(wanted) => commands::explain_logs(&wanted.logs, &wanted.id),
         Command::Demo(demo) => demo::run(demo).await,
         Command::Remote { target, action } => commands::run(target, action).await,
     };
--- a/crates/mastknot_cli/src/options/command.rs
+++ b/crates/mastknot_cli/src/options/command.rs
@@ -57,6 +57,13 @@
     pub(crate) file: PathBuf,
 }
 
+/// `mastknot explain --logs`.
+#[derive(Clone, Debug)]
+pub(crate) struct ExplainLogs {
+    pub(crate) logs: Vec<PathBuf>,
+    pub(crate) id: String,
+}
+
 /// `mastknot demo`.
 #[derive(Clone, Debug)]
 pub(crate) struct Demo {
@@ -100,5 +107,6 @@
 pub(crate) enum Command {
     Remote { target: Target, action: Action },
     Check(Check),
+    ExplainLogs(ExplainLogs),
     Demo(Demo),
 }
--- a/crates/mastknot_cli/src/options/parse.rs
+++ b/crates/mastknot_cli/src/options/parse.rs
@@ -4,7 +4,7 @@
 
 use bpaf::{OptionParser, Parser, construct, long, positional};
 
-use super::{Action, Check, Command, Demo, Format, SettingsKind, Target};
+use super::{Action, Check, Command, Demo, ExplainLogs, Format, SettingsKind, Target};
 
 /// The exit codes, for `--help`.
 const EXIT_CODES: &str = "Exit codes: 0 done, 1 unreachable, 2 not allowed, 3 conflict, \
@@ -100,8 +100,18 @@
 }
 
 fn explain() -> impl Parser<Command> {
+    let logs = long("logs")
+        .help("Log file of an entry or a side, in place of asking entries; give it once for each")
+        .argument::<PathBuf>("FILE")
+        .some("no log file");
+    let id = positional::<String>("ID").help("Request, job or run as the logs name it");
+    let from_logs = construct!(ExplainLogs { logs, id }).map(Command::ExplainLogs);
     let key = positional::<String>("KEY").help("Key of a job or request");
-    remote(construct!(Action::Explain { key }))
+    let action = construct!(Action::Explain { key });
+    let target = target();
+    let from_entries = construct!(Command::Remote { target, action });
+    construct!([from_logs, from_entries])
+        .to_options()
         .descr("Print why a submission was placed, refused or tried again, decision by decision")
         .command("explain")
 }
--- /dev/null
+++ b/crates/mastknot_cli/tests/explain_logs.rs
@@ -0,0 +1,102 @@
+//! The story of a request from the logs of its entry and its sides.
+
+use std::path::PathBuf;
+use std::process::Command;
+
+use expect_test::{Expect, expect};
+
+const ENTRY: &str = r#"{"at":100.000,"event":"job_taken","job":"aa00000000000001","objective_ms":150,"request_id":"r1","tasks":2,"waiting_jobs":0}
+{"at":100.001,"event":"task_placed","run":"aa00000000000001/0/0#7","request_id":"r1","side":"side-1","waited_ms":1}
+{"at":100.002,"event":"task_placed","run":"aa00000000000001/0/1#8","request_id":"r1","side":"side-2","waited_ms":2}
+{"at":100.090,"event":"run_ended","run":"aa00000000000001/0/1#8","request_id":"r1","side":"side-2","end":"Lost","failures":0}
+{"at":100.091,"event":"task_placed","run":"aa00000000000001/0/1#9","request_id":"r1","side":"side-1","waited_ms":91}
+{"at":100.200,"event":"job_answered","job":"aa00000000000001","request_id":"r1","answer":"Completed","after_ms":200,"first_start_ms":1,"starts":3,"in_time":false}
+not a line of ours
+{"at":100.100,"event":"job_taken","job":"aa00000000000002","objective_ms":150,"request_id":"r2","tasks":1,"waiting_jobs":9}
+{"at":100.600,"event":"job_answered","job":"aa00000000000002","request_id":"r2","answer":"Refused","after_ms":500,"first_start_ms":null,"starts":0,"in_time":false}
+{"at":100.300,"event":"job_taken","job":"aa00000000000003","objective_ms":150,"request_id":"r3","tasks":1,"waiting_jobs":0}
+"#;
+
+const SIDE: &str = r#"{"at":100.080,"event":"lease_ended","entry":"entry-1"}
+{"at":100.089,"event":"run_ended","run":"aa00000000000001/0/1#8","end":"Lost","ran_ms":87}
+"#;
+
+fn explain(name: &str, id: &str) -> (Option<i32>, String) {
+    let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+    std::fs::create_dir_all(&folder).unwrap();
+    let files = [("entry-1.log", ENTRY), ("side-2.log", SIDE)];
+    let mut command = Command::new(env!("CARGO_BIN_EXE_mastknot"));
+    command.arg("explain");
+    for (file, text) in files {
+        let path = folder.join(file);
+        std::fs::write(&path, text).unwrap();
+        command.arg("--logs").arg(path);
+    }
+    let output = command.arg(id).output().unwrap();
+    let printed = [output.stdout, output.stderr].concat();
+    (output.status.code(), String::from_utf8(printed).unwrap())
+}
+
+fn check(name: &str, id: &str, code: i32, expected: Expect) {
+    let (exit, printed) = explain(name, id);
+    expected.assert_eq(&printed);
+    assert_eq!(exit, Some(code));
+}
+
+#[test]
+fn a_late_request_is_told_with_the_run_that_cost_it_its_objective() {
+    check(
+        "late",
+        "r1",
+        0,
+        expect![[r#"
+                   0 ms  entry-1  job_taken  job=aa00000000000001 objective_ms=150 tasks=2 waiting_jobs=0
+                   1 ms  entry-1  task_placed  run=aa00000000000001/0/0#7 side=side-1 waited_ms=1
+                   2 ms  entry-1  task_placed  run=aa00000000000001/0/1#8 side=side-2 waited_ms=2
+                  89 ms  side-2  run_ended  end=Lost ran_ms=87 run=aa00000000000001/0/1#8
+                  90 ms  entry-1  run_ended  end=Lost failures=0 run=aa00000000000001/0/1#8 side=side-2
+                  91 ms  entry-1  task_placed  run=aa00000000000001/0/1#9 side=side-1 waited_ms=91
+                 200 ms  entry-1  job_answered  after_ms=200 answer=Completed first_start_ms=1 in_time=false job=aa00000000000001 starts=3
+            It ended as Completed after 200 ms: 1 runs were broken, last aa00000000000001/0/1#8 on side-2 (Lost).
+        "#]],
+    );
+}
+
+#[test]
+fn a_refused_request_found_no_room() {
+    check(
+        "refused",
+        "r2",
+        0,
+        expect![[r#"
+               0 ms  entry-1  job_taken  job=aa00000000000002 objective_ms=150 tasks=1 waiting_jobs=9
+             500 ms  entry-1  job_answered  after_ms=500 answer=Refused first_start_ms=null in_time=false job=aa00000000000002 starts=0
+        It ended as Refused after 500 ms: it found no room; 0 starts were turned away.
+    "#]],
+    );
+}
+
+#[test]
+fn a_request_without_an_answer_points_at_its_entry() {
+    check(
+        "unanswered",
+        "r3",
+        0,
+        expect![[r#"
+               0 ms  entry-1  job_taken  job=aa00000000000003 objective_ms=150 tasks=1 waiting_jobs=0
+        It was taken and never answered: the entry ended or stood still; look for its `started` and for `lease_ended` at the sides.
+    "#]],
+    );
+}
+
+#[test]
+fn what_no_log_names_is_not_found() {
+    check(
+        "unknown",
+        "r9",
+        4,
+        expect![[r#"
+        mastknot: no line about r9; give the logs of all entries and sides
+    "#]],
+    );
+}
