refactor(wire): one loop hands over what arrives on a link

Cause: the loop that serves a link stood in job_links and in agent_dialing. Change: LinkReceiver::forward. No decision changed; whole_path passes.

--- a/crates/mastknot_entry/src/jobs/job_links.rs
+++ b/crates/mastknot_entry/src/jobs/job_links.rs
@@ -59,27 +59,18 @@
     mut link: Link<EntryOrder, SideReport>,
 ) -> Result<(), LinkError> {
     let session = SessionId(NEXT_SESSION.fetch_add(1, Ordering::Relaxed));
-    let (closed, mut close) = tokio::sync::oneshot::channel();
+    let (closed, close) = tokio::sync::oneshot::channel();
     let up = JobLinkUp {
         session,
         sender: link.sender,
         closed,
     };
     let _ = actor.tell(up).await;
-    let result = loop {
-        let received = tokio::select! {
-            received = link.receiver.receive_many() => received,
-            _ = &mut close => break Ok(()),
-        };
-        let reports = match received {
-            Ok(Some(reports)) => reports,
-            Ok(None) => break Ok(()),
-            Err(error) => break Err(error),
-        };
-        if actor.tell(JobReports { session, reports }).await.is_err() {
-            break Ok(());
-        }
+    let take = |reports| async move {
+        let told = actor.tell(JobReports { session, reports }).await;
+        told.is_ok()
     };
+    let result = link.receiver.forward(close, take).await;
     let _ = actor.tell(JobLinkDown { session }).await;
     result
 }
--- a/crates/mastknot_side/src/agent/agent_dialing.rs
+++ b/crates/mastknot_side/src/agent/agent_dialing.rs
@@ -57,27 +57,18 @@
     mut link: Link<SideReport, EntryOrder>,
 ) -> Result<(), LinkError> {
     let session = SessionId(NEXT_SESSION.fetch_add(1, Ordering::Relaxed));
-    let (closed, mut close) = tokio::sync::oneshot::channel();
+    let (closed, close) = tokio::sync::oneshot::channel();
     let up = AgentLinkUp {
         session,
         sender: link.sender,
         closed,
     };
     let _ = actor.tell(up).await;
-    let result = loop {
-        let received = tokio::select! {
-            received = link.receiver.receive_many() => received,
-            _ = &mut close => break Ok(()),
-        };
-        let orders = match received {
-            Ok(Some(orders)) => orders,
-            Ok(None) => break Ok(()),
-            Err(error) => break Err(error),
-        };
-        if actor.tell(AgentOrders { session, orders }).await.is_err() {
-            break Ok(());
-        }
+    let take = |orders| async move {
+        let told = actor.tell(AgentOrders { session, orders }).await;
+        told.is_ok()
     };
+    let result = link.receiver.forward(close, take).await;
     let _ = actor.tell(AgentLinkDown { session }).await;
     result
 }
--- a/crates/mastknot_wire/src/link/link_receiver.rs
+++ b/crates/mastknot_wire/src/link/link_receiver.rs
@@ -1,8 +1,10 @@
+use std::future::Future;
 use std::marker::PhantomData;
 use std::sync::Arc;
 
 use h2::RecvStream;
 use snafu::ResultExt;
+use tokio::sync::oneshot;
 
 use super::LinkStats;
 use crate::error::{H2Snafu, LinkError};
@@ -44,6 +46,31 @@
         }
     }
 
+    /// Hands over all that arrives, until the link ends, `closed` resolves, or `take` says that
+    /// nobody takes it any more.
+    pub async fn forward<F, T>(
+        &mut self,
+        mut closed: oneshot::Receiver<()>,
+        mut take: F,
+    ) -> Result<(), LinkError>
+    where
+        F: FnMut(Vec<R>) -> T,
+        T: Future<Output = bool>,
+    {
+        loop {
+            let received = tokio::select! {
+                received = self.receive_many() => received?,
+                _ = &mut closed => return Ok(()),
+            };
+            let Some(messages) = received else {
+                return Ok(());
+            };
+            if !take(messages).await {
+                return Ok(());
+            }
+        }
+    }
+
     /// All messages that have arrived, at least one; none when the link was closed in order.
     pub async fn receive_many(&mut self) -> Result<Option<Vec<R>>, LinkError> {
         let Some(first) = self.receive().await? else {
