--- a/crates/mastknot_core/src/agent/agent_decision.rs
+++ b/crates/mastknot_core/src/agent/agent_decision.rs
@@ -61,6 +61,17 @@
         /// The entry.
         entry: NodeName,
     },
+    /// Free room is kept for one entry.
+    Offered {
+        /// The entry.
+        entry: NodeName,
+        /// The processor that is kept, in thousandths of a core.
+        cpu_millis: u32,
+        /// How urgent its need is; 0 is the most urgent.
+        rank: u8,
+        /// What it needs, in thousandths of a core.
+        needed_cpu_millis: u32,
+    },
     /// The target's condition changed.
     Condition {
         /// The target, if one is known.
--- a/crates/mastknot_core/src/agent/offers.rs
+++ b/crates/mastknot_core/src/agent/offers.rs
@@ -6,6 +6,8 @@
 
 use std::time::Duration;
 
+use super::AgentDecision;
+
 use super::owners::OwnerKey;
 use super::target_agent::TargetAgent;
 use crate::job::{Room, WaitingNeed};
@@ -140,6 +142,12 @@
                 until: now + OFFER_TIME,
                 is_used: false,
             });
+            self.decided(AgentDecision::Offered {
+                entry: key.entry,
+                cpu_millis: left.cpu_millis,
+                rank: need.rank,
+                needed_cpu_millis: need.room.cpu_millis,
+            });
         }
     }
 
--- a/crates/mastknot_side/src/agent/agent_logs.rs
+++ b/crates/mastknot_side/src/agent/agent_logs.rs
@@ -1,6 +1,6 @@
 //! One log line for each decision of a side.
 
-use log::{info, warn};
+use log::{debug, info, warn};
 use mastknot_core::agent::AgentDecision;
 use mastknot_core::job::EndOfRun;
 
@@ -28,6 +28,14 @@
             runs,
         } => warn!(target: DECISION, entry:%, cause:?, age_ms, runs; "lease_ended"),
         AgentDecision::EntryJoined { entry } => info!(target: DECISION, entry:%; "entry_joined"),
+        // Many a second in crowded times; the entry's `task_placed` says what came of each.
+        AgentDecision::Offered {
+            entry,
+            cpu_millis,
+            rank,
+            needed_cpu_millis,
+        } => debug!(target: DECISION, entry:%, cpu_millis, rank, needed_cpu_millis;
+            "room_offered"),
         AgentDecision::Condition { target, condition } => {
             let target_id = target.as_ref().map_or("", |target| &target.0);
             info!(target: DECISION, target_id, condition:?; "target_condition");
--- a/crates/mastknot_side/src/agent/agent_metrics.rs
+++ b/crates/mastknot_side/src/agent/agent_metrics.rs
@@ -80,6 +80,7 @@
         AgentDecision::Unconfirmed { .. } => "order_unanswered",
         AgentDecision::LeaseEnded { .. } => "lease_ended",
         AgentDecision::EntryJoined { .. } => "entry_joined",
+        AgentDecision::Offered { .. } => "room_offered",
         AgentDecision::Condition { .. } => "target_condition",
         AgentDecision::Token { .. } => "fencing_token",
         AgentDecision::LookFailed { .. } => "look_failed",
