feat(logs): link bytes by kind, late confirmations, loop delay, what a configuration read cost

Cause: the hypotheses of the incident can't be told apart: neither logs nor metrics say how much of a link the configuration takes, how long a report waits for its confirmation, how long a loop is held, how long a read took. Change: LinkStats counts work, control and documents apart and is part of both roles' metrics; one log line each 5 s; confirm_times of a side; mastknot_loop_delay_seconds with a line over 100 ms; size and time of each configuration read.

--- a/crates/mastknot_core/src/agent/mod.rs
+++ b/crates/mastknot_core/src/agent/mod.rs
@@ -9,6 +9,7 @@
 mod agent_event;
 mod agent_settings;
 mod answer_times;
+mod confirm_times;
 mod offers;
 mod orders;
 mod owners;
@@ -27,6 +28,7 @@
     TargetView,
 };
 pub use agent_settings::AgentSettings;
+pub use confirm_times::ConfirmTimes;
 pub use run_table::{Run, RunPhase, RunTable};
 pub use target_agent::TargetAgent;
 pub use target_health::TargetHealth;
--- a/crates/mastknot_core/src/agent/orders.rs
+++ b/crates/mastknot_core/src/agent/orders.rs
@@ -26,8 +26,9 @@
             EntryOrder::Start(start) => self.start(now, &key, start),
             EntryOrder::Stop(run) => self.stop_for(now, &key, run),
             EntryOrder::Heartbeat { heard, need } => {
-                if let Some(owner) = self.owners.get_mut(&key) {
-                    owner.note_heard(heard);
+                let owner = self.owners.get_mut(&key);
+                if let Some(sent) = owner.and_then(|owner| owner.note_heard(heard)) {
+                    self.confirm_times.note(now.since(sent));
                 }
                 self.take_need(now, &key, heard, need);
             }
--- a/crates/mastknot_core/src/agent/owners.rs
+++ b/crates/mastknot_core/src/agent/owners.rs
@@ -83,15 +83,19 @@
         number
     }
 
-    /// The entry has received all reports up to this number.
-    pub(crate) fn note_heard(&mut self, heard: u64) {
+    /// The entry has received all reports up to this number; returns when the newest of them was
+    /// sent, if it is news.
+    pub(crate) fn note_heard(&mut self, heard: u64) -> Option<Moment> {
+        let mut newest = None;
         while let Some(oldest) = self.sent.front().copied() {
             if oldest.number > heard {
                 break;
             }
             self.lease_from = self.lease_from.max(oldest.at);
+            newest = Some(oldest.at);
             self.sent.pop_front();
         }
+        newest
     }
 
     /// Takes a new link of the same life of the entry.
--- a/crates/mastknot_core/src/agent/target_agent.rs
+++ b/crates/mastknot_core/src/agent/target_agent.rs
@@ -1,6 +1,7 @@
 use indexmap::IndexMap;
 
 use super::answer_times::AnswerTimes;
+use super::confirm_times::ConfirmTimes;
 use super::owners::{Owner, OwnerKey};
 use super::target_link::TargetLink;
 use super::target_pace::TargetPace;
@@ -45,6 +46,7 @@
     pub(super) health: TargetHealth,
     pub(super) pace: TargetPace,
     pub(super) answers: AnswerTimes,
+    pub(super) confirm_times: ConfirmTimes,
     pub(super) runs: RunTable,
     /// Runs of an earlier life of this process that no entry has taken over yet.
     pub(super) survivors: IndexMap<RunId, u8>,
@@ -79,6 +81,7 @@
             health: TargetHealth::default(),
             pace: TargetPace::default(),
             answers: AnswerTimes::default(),
+            confirm_times: ConfirmTimes::default(),
             runs: RunTable::default(),
             survivors: IndexMap::new(),
             orphaned_ends: Vec::new(),
@@ -269,6 +272,11 @@
         &self.runs
     }
 
+    /// How long entries took to confirm reports.
+    pub fn confirm_times(&self) -> &ConfirmTimes {
+        &self.confirm_times
+    }
+
     /// The newest configuration that was heard of.
     pub fn document(&self) -> Option<&ConfigDocument> {
         self.document.as_ref()
--- a/crates/mastknot_entry/src/actor/entry_actor.rs
+++ b/crates/mastknot_entry/src/actor/entry_actor.rs
@@ -525,7 +525,7 @@
             .stats
             .counters()
             .into_iter()
-            .map(|(name, count)| (name.to_owned(), json!(count)))
+            .map(|(name, count)| (name, json!(count)))
             .collect();
         let dispatcher = self.core.dispatcher();
         json!({
--- a/crates/mastknot_entry/src/jobs/job_node.rs
+++ b/crates/mastknot_entry/src/jobs/job_node.rs
@@ -6,7 +6,7 @@
 use mastknot_core::job::{ConfigDocument, JobAnswer, JobId, JobRequest, KnownEntry, QueuePolicy};
 use mastknot_core::scheduler::{CallerId, JobScheduler, SchedulerEvent, SchedulerSettings};
 use mastknot_runtime::Clock;
-use mastknot_wire::LinkStats;
+use mastknot_wire::{LinkStats, log_link_traffic};
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot, watch};
 
@@ -76,6 +76,7 @@
             has_side: has_side_sender,
         };
         let actor = JobActor::spawn_with_mailbox(actor_parts, kameo::mailbox::unbounded());
+        tokio::spawn(log_link_traffic(Arc::clone(&stats)));
         tokio::spawn(listen(parts.links, actor.clone(), Arc::clone(&stats)));
         Self {
             actor,
@@ -149,7 +150,8 @@
 
     /// All figures in Prometheus' text form.
     pub async fn metrics_text(&self) -> Option<String> {
-        self.actor.ask(GetJobMetrics).await.ok()
+        let own = self.actor.ask(GetJobMetrics).await.ok()?;
+        Some(self.stats.text() + &own)
     }
 
     /// Whether a side stands ready for any service.
--- a/crates/mastknot_runtime/src/lib.rs
+++ b/crates/mastknot_runtime/src/lib.rs
@@ -22,7 +22,7 @@
 pub use http::{HttpClient, RequestParts};
 pub use logs::{LogFormat, LogSettings, start_bounded_logs, start_logs};
 pub use metrics::{
-    MetricsExporter, counters_text, flatten_counters, latency_histogram, registry_text,
+    LoopDelay, MetricsExporter, counters_text, flatten_counters, latency_histogram, registry_text,
 };
 pub use settings::{
     CheckSettings, SettingsError, check_address, check_range, check_text, load_settings,
--- a/crates/mastknot_runtime/src/metrics/mod.rs
+++ b/crates/mastknot_runtime/src/metrics/mod.rs
@@ -1,9 +1,11 @@
 //! Counters, sent as StatsD packets through `cadence` and readable as JSON over HTTP.
 
 mod latency;
+mod loop_delay;
 mod text;
 
 pub use latency::latency_histogram;
+pub use loop_delay::LoopDelay;
 pub use text::{counters_text, registry_text};
 
 use std::collections::BTreeMap;
--- a/crates/mastknot_runtime/src/shared_store/config_feed.rs
+++ b/crates/mastknot_runtime/src/shared_store/config_feed.rs
@@ -2,7 +2,7 @@
 
 use log::{info, warn};
 use tokio::sync::mpsc;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 use super::{SharedStore, SharedStoreError};
 
@@ -39,12 +39,16 @@
     let mut is_up = true;
     let mut last_revision = 0;
     loop {
+        let asked = Instant::now();
         let result = store.read(&settings.key).await;
-        note_dependency(&mut is_up, result.as_ref().err());
+        let took_ms = asked.elapsed().as_millis() as u64;
+        note_dependency(&mut is_up, took_ms, result.as_ref().err());
         let pause = match result {
             Ok(Some(item)) => {
                 if item.revision != last_revision {
                     last_revision = item.revision;
+                    let bytes = item.value.as_ref().map_or(0, Vec::len);
+                    info!(bytes, took_ms, revision = last_revision; "configuration read");
                     send(&values, item.value);
                 }
                 settings.read_interval
@@ -105,9 +109,9 @@
 }
 
 /// One line at each loss and return of the store.
-fn note_dependency(is_up: &mut bool, error: Option<&SharedStoreError>) {
+fn note_dependency(is_up: &mut bool, took_ms: u64, error: Option<&SharedStoreError>) {
     match (error, *is_up) {
-        (Some(error), true) => warn!(dependency = "store", error:%; "lost"),
+        (Some(error), true) => warn!(dependency = "store", took_ms, error:%; "lost"),
         (None, false) => info!(dependency = "store"; "regained"),
         _ => {}
     }
--- a/crates/mastknot_side/src/agent/agent_actor.rs
+++ b/crates/mastknot_side/src/agent/agent_actor.rs
@@ -6,7 +6,7 @@
 use kameo::actor::ActorRef;
 use kameo::message::{Context, Message};
 use log::debug;
-use mastknot_core::agent::{AgentEffect, AgentEvent, SessionId, TargetAgent};
+use mastknot_core::agent::{AgentEffect, AgentEvent, ConfirmTimes, SessionId, TargetAgent};
 use mastknot_core::job::{
     EntryOrder, KnownEntry, Room, SideReport, TargetCondition, TargetProfile,
 };
@@ -93,6 +93,8 @@
     pub is_ready: u32,
     /// Links to entries.
     pub links: usize,
+    /// How long entries took to confirm reports.
+    pub confirm_times: ConfirmTimes,
 }
 
 impl<P: TargetPort> Actor for AgentActor<P> {
@@ -209,6 +211,7 @@
                 .cpu_millis,
             is_ready: u32::from(is_ready),
             links: self.links.len(),
+            confirm_times: *core.confirm_times(),
         }
     }
 
--- a/crates/mastknot_side/src/agent/agent_node.rs
+++ b/crates/mastknot_side/src/agent/agent_node.rs
@@ -6,7 +6,7 @@
 use mastknot_core::agent::{AgentEvent, AgentSettings, TargetAgent};
 use mastknot_core::job::{KnownEntry, TargetId, TargetProfile};
 use mastknot_runtime::Clock;
-use mastknot_wire::LinkStats;
+use mastknot_wire::{LinkStats, log_link_traffic};
 use tokio::sync::watch;
 
 use super::TargetPort;
@@ -49,6 +49,7 @@
     /// Starts it.
     pub fn start(parts: AgentParts<P>) -> Self {
         let stats: Arc<LinkStats> = Arc::default();
+        tokio::spawn(log_link_traffic(Arc::clone(&stats)));
         let (drained_sender, drained) = watch::channel(false);
         let (profile_sender, profiles) = watch::channel(None);
         let parts = AgentActorParts {
@@ -112,7 +113,8 @@
 
     /// All figures in Prometheus' text form.
     pub async fn metrics_text(&self) -> Option<String> {
-        self.actor.ask(GetAgentMetrics).await.ok()
+        let own = self.actor.ask(GetAgentMetrics).await.ok()?;
+        Some(self.stats.text() + &own)
     }
 
     /// What went over its links.
--- a/crates/mastknot_side/src/node/side_node.rs
+++ b/crates/mastknot_side/src/node/side_node.rs
@@ -134,7 +134,7 @@
     let links: serde_json::Map<String, Value> = stats
         .counters()
         .into_iter()
-        .map(|(name, count)| (name.to_owned(), json!(count)))
+        .map(|(name, count)| (name, json!(count)))
         .collect();
     value["links"] = Value::Object(links);
     Some(value)
--- a/crates/mastknot_wire/src/frame/mod.rs
+++ b/crates/mastknot_wire/src/frame/mod.rs
@@ -1,9 +1,11 @@
 //! Frames: a length and the bincode bytes of one message.
 
 mod frame_decoder;
+mod message_kind;
 mod wire_message;
 
 pub use frame_decoder::FrameDecoder;
+pub use message_kind::MessageKind;
 pub use wire_message::WireMessage;
 
 use bincode::{Decode, Encode};
--- a/crates/mastknot_wire/src/frame/wire_message.rs
+++ b/crates/mastknot_wire/src/frame/wire_message.rs
@@ -2,42 +2,59 @@
 use mastknot_core::job::{EntryOrder, SideReport};
 use mastknot_core::message::{EntryMessage, PeerMessage, SideMessage};
 
+use super::MessageKind;
+
 /// A message that goes over links.
 pub trait WireMessage: Encode + Decode<()> + Send + 'static {
-    /// Whether the message carries a caller's work (a start, its answer, a forward), and is not
-    /// control.
-    fn is_work(&self) -> bool;
+    /// What the message is for.
+    fn kind(&self) -> MessageKind;
 }
 
 impl WireMessage for EntryMessage {
-    fn is_work(&self) -> bool {
-        matches!(self, Self::Start { .. })
+    fn kind(&self) -> MessageKind {
+        work_if(matches!(self, Self::Start { .. }))
     }
 }
 
 impl WireMessage for SideMessage {
-    fn is_work(&self) -> bool {
-        matches!(self, Self::Answer { .. })
+    fn kind(&self) -> MessageKind {
+        work_if(matches!(self, Self::Answer { .. }))
     }
 }
 
 impl WireMessage for PeerMessage {
-    fn is_work(&self) -> bool {
-        matches!(
+    fn kind(&self) -> MessageKind {
+        work_if(matches!(
             self,
             Self::Forward { .. } | Self::Fetch { .. } | Self::Replied { .. }
-        )
+        ))
     }
 }
 
 impl WireMessage for EntryOrder {
-    fn is_work(&self) -> bool {
-        matches!(self, Self::Start(_))
+    fn kind(&self) -> MessageKind {
+        match self {
+            Self::Document(_) => MessageKind::Document,
+            Self::Welcome(welcome) if welcome.document.is_some() => MessageKind::Document,
+            Self::Start(_) => MessageKind::Work,
+            _ => MessageKind::Control,
+        }
     }
 }
 
 impl WireMessage for SideReport {
-    fn is_work(&self) -> bool {
-        matches!(self, Self::Status(status) if !status.ended.is_empty())
+    fn kind(&self) -> MessageKind {
+        match self {
+            Self::Hello(hello) if hello.document.is_some() => MessageKind::Document,
+            Self::Status(status) if !status.ended.is_empty() => MessageKind::Work,
+            _ => MessageKind::Control,
+        }
+    }
+}
+
+fn work_if(is_work: bool) -> MessageKind {
+    match is_work {
+        true => MessageKind::Work,
+        false => MessageKind::Control,
     }
 }
--- a/crates/mastknot_wire/src/lib.rs
+++ b/crates/mastknot_wire/src/lib.rs
@@ -11,5 +11,10 @@
 mod link;
 
 pub use error::LinkError;
-pub use frame::{FrameDecoder, MAX_FRAME_BYTES, WireMessage, decode_message, encode_frame};
-pub use link::{Accepted, Link, LinkKind, LinkReceiver, LinkSender, LinkStats, accept, connect};
+pub use frame::{
+    FrameDecoder, MAX_FRAME_BYTES, MessageKind, WireMessage, decode_message, encode_frame,
+};
+pub use link::{
+    Accepted, Link, LinkKind, LinkReceiver, LinkSender, LinkStats, accept, connect,
+    log_link_traffic,
+};
--- a/crates/mastknot_wire/src/link/link_receiver.rs
+++ b/crates/mastknot_wire/src/link/link_receiver.rs
@@ -33,7 +33,7 @@
     pub async fn receive(&mut self) -> Result<Option<R>, LinkError> {
         loop {
             if let Some((message, bytes)) = self.decoder.next::<R>()? {
-                self.stats.note_received(message.is_work(), bytes);
+                self.stats.note_received(message.kind(), bytes);
                 return Ok(Some(message));
             }
             let Some(data) = self.stream.data().await else {
@@ -78,7 +78,7 @@
         };
         let mut messages = vec![first];
         while let Some((message, bytes)) = self.decoder.next::<R>()? {
-            self.stats.note_received(message.is_work(), bytes);
+            self.stats.note_received(message.kind(), bytes);
             messages.push(message);
         }
         Ok(Some(messages))
--- a/crates/mastknot_wire/src/link/link_sender.rs
+++ b/crates/mastknot_wire/src/link/link_sender.rs
@@ -115,7 +115,7 @@
 
     fn encode(&self, message: &S, buffer: &mut BytesMut) -> Result<(), LinkError> {
         let bytes = encode_frame(message, buffer)?;
-        self.stats.note_sent(message.is_work(), bytes);
+        self.stats.note_sent(message.kind(), bytes);
         Ok(())
     }
 
--- a/crates/mastknot_wire/src/link/link_stats.rs
+++ b/crates/mastknot_wire/src/link/link_stats.rs
@@ -1,58 +1,76 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 
-/// Counts what went over the links of one process, control apart from work.
+use crate::frame::MessageKind;
+
+/// Counts what went over the links of one process, by the kind of message.
 #[derive(Debug, Default)]
 pub struct LinkStats {
-    work_messages_sent: AtomicU64,
-    work_bytes_sent: AtomicU64,
-    control_messages_sent: AtomicU64,
-    control_bytes_sent: AtomicU64,
-    work_messages_received: AtomicU64,
-    work_bytes_received: AtomicU64,
-    control_messages_received: AtomicU64,
-    control_bytes_received: AtomicU64,
+    sent: [Traffic; MessageKind::ALL.len()],
+    received: [Traffic; MessageKind::ALL.len()],
+}
+
+#[derive(Debug, Default)]
+struct Traffic {
+    messages: AtomicU64,
+    bytes: AtomicU64,
 }
 
 impl LinkStats {
-    pub(crate) fn note_sent(&self, is_work: bool, bytes: usize) {
-        if is_work {
-            add(&self.work_messages_sent, 1);
-            add(&self.work_bytes_sent, bytes);
-        } else {
-            add(&self.control_messages_sent, 1);
-            add(&self.control_bytes_sent, bytes);
-        }
-    }
-
-    pub(crate) fn note_received(&self, is_work: bool, bytes: usize) {
-        if is_work {
-            add(&self.work_messages_received, 1);
-            add(&self.work_bytes_received, bytes);
-        } else {
-            add(&self.control_messages_received, 1);
-            add(&self.control_bytes_received, bytes);
-        }
+    pub(crate) fn note_sent(&self, kind: MessageKind, bytes: usize) {
+        self.sent[kind as usize].add(bytes);
+    }
+
+    pub(crate) fn note_received(&self, kind: MessageKind, bytes: usize) {
+        self.received[kind as usize].add(bytes);
+    }
+
+    /// The bytes sent of a kind so far.
+    pub fn bytes_sent(&self, kind: MessageKind) -> u64 {
+        self.sent[kind as usize].bytes.load(Ordering::Relaxed)
+    }
+
+    /// The bytes received of a kind so far.
+    pub fn bytes_received(&self, kind: MessageKind) -> u64 {
+        self.received[kind as usize].bytes.load(Ordering::Relaxed)
     }
 
     /// All counters with their names.
-    pub fn counters(&self) -> [(&'static str, u64); 8] {
-        let read = |counter: &AtomicU64| counter.load(Ordering::Relaxed);
+    pub fn counters(&self) -> Vec<(String, u64)> {
+        let sent = MessageKind::ALL.map(|kind| (kind, "sent", &self.sent[kind as usize]));
+        let received =
+            MessageKind::ALL.map(|kind| (kind, "received", &self.received[kind as usize]));
+        let traffic = sent.into_iter().chain(received);
+        traffic
+            .flat_map(|(kind, direction, traffic)| traffic.counters(kind, direction))
+            .collect()
+    }
+
+    /// All counters in Prometheus' text form.
+    pub fn text(&self) -> String {
+        let lines = self.counters().into_iter();
+        lines
+            .map(|(name, value)| format!("mastknot_link_{name} {value}\n"))
+            .collect()
+    }
+}
+
+impl Traffic {
+    fn add(&self, bytes: usize) {
+        self.messages.fetch_add(1, Ordering::Relaxed);
+        self.bytes.fetch_add(bytes as u64, Ordering::Relaxed);
+    }
+
+    fn counters(&self, kind: MessageKind, direction: &str) -> [(String, u64); 2] {
+        let kind = kind.name();
         [
-            ("work_messages_sent", read(&self.work_messages_sent)),
-            ("work_bytes_sent", read(&self.work_bytes_sent)),
-            ("control_messages_sent", read(&self.control_messages_sent)),
-            ("control_bytes_sent", read(&self.control_bytes_sent)),
-            ("work_messages_received", read(&self.work_messages_received)),
-            ("work_bytes_received", read(&self.work_bytes_received)),
             (
-                "control_messages_received",
-                read(&self.control_messages_received),
+                format!("{kind}_messages_{direction}"),
+                self.messages.load(Ordering::Relaxed),
+            ),
+            (
+                format!("{kind}_bytes_{direction}"),
+                self.bytes.load(Ordering::Relaxed),
             ),
-            ("control_bytes_received", read(&self.control_bytes_received)),
         ]
     }
 }
-
-fn add(counter: &AtomicU64, by: usize) {
-    counter.fetch_add(by as u64, Ordering::Relaxed);
-}
--- a/crates/mastknot_wire/src/link/mod.rs
+++ b/crates/mastknot_wire/src/link/mod.rs
@@ -6,12 +6,14 @@
 mod link_stats;
 mod listen;
 mod socket;
+mod traffic_log;
 
 pub use dial::connect;
 pub use link_receiver::LinkReceiver;
 pub use link_sender::LinkSender;
 pub use link_stats::LinkStats;
 pub use listen::{Accepted, accept};
+pub use traffic_log::log_link_traffic;
 
 /// What a link is for; the path of its request says so.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- /dev/null
+++ b/crates/mastknot_wire/src/link/traffic_log.rs
@@ -0,0 +1,24 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use log::info;
+use tokio::time::sleep;
+
+use super::LinkStats;
+use crate::frame::MessageKind;
+
+/// Between two lines: as often as metrics are usually fetched.
+const INTERVAL: Duration = Duration::from_secs(5);
+
+/// Logs what the links have carried so far, for those who have only the logs; ends with its runtime.
+pub async fn log_link_traffic(stats: Arc<LinkStats>) {
+    loop {
+        sleep(INTERVAL).await;
+        let sent = MessageKind::ALL.map(|kind| stats.bytes_sent(kind));
+        let received = MessageKind::ALL.map(|kind| stats.bytes_received(kind));
+        let [work_sent, control_sent, document_sent] = sent;
+        let [work_received, control_received, document_received] = received;
+        info!(work_sent, control_sent, document_sent, work_received, control_received,
+            document_received; "link bytes so far");
+    }
+}
