fix(relay): links announce versions; the configuration and the entries are asked for, one part at a time

Cause (class): a message the size of the configuration for each pair of entry and side, and again at every new link, so that the reconnecting that it brings about feeds it. The list of entries went out the same way: to all sides at each change, and in each welcome. Change: hello, welcome, heartbeat and status carry versions and a digest of the entries, only when these changed. DocumentFetch asks one link at a time; DocumentServer answers one part of 4 ms of its link at a time, at half of the link at most. Eight sides by rendezvous hash hold the configuration for entries that start while the store is away; an entry that the store turns away hears of versions from them within a heartbeat.

--- a/crates/mastknot_core/src/agent/agent_effect.rs
+++ b/crates/mastknot_core/src/agent/agent_effect.rs
@@ -2,7 +2,7 @@
 use std::time::Duration;
 
 use super::{AgentDecision, SessionId};
-use crate::job::{ConfigDocument, KnownEntry, RunId, SideReport, TargetId, TargetProfile};
+use crate::job::{KnownEntry, RunId, SideReport, TargetId, TargetProfile};
 
 /// What a [`TargetAgent`](super::TargetAgent) wants done.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -62,8 +62,6 @@
     },
     /// These entries are known; dial those that have no link.
     Entries(Vec<KnownEntry>),
-    /// A newer configuration was heard of.
-    Document(ConfigDocument),
     /// Another life of the target has reported; worth writing down.
     TargetKnown(TargetProfile),
     /// Something was decided.
--- a/crates/mastknot_core/src/agent/agent_settings.rs
+++ b/crates/mastknot_core/src/agent/agent_settings.rs
@@ -1,6 +1,7 @@
 use std::time::Duration;
 
 use crate::job::LeaseTerms;
+use crate::relay::LinkRate;
 use crate::types::{Hall, Incarnation, NodeName};
 
 /// What a [`TargetAgent`](super::TargetAgent) is set up with.
@@ -28,6 +29,8 @@
     pub settle_limit: Duration,
     /// How long runs of an earlier life, once seen, wait for an entry that takes them over.
     pub adoption_limit: Duration,
+    /// What its link carries.
+    pub link: LinkRate,
 }
 
 impl AgentSettings {
@@ -45,6 +48,7 @@
             idle_report_delay: Duration::from_millis(40),
             settle_limit: Duration::from_millis(600),
             adoption_limit: Duration::from_millis(200),
+            link: LinkRate::default(),
         }
     }
 }
--- /dev/null
+++ b/crates/mastknot_core/src/agent/learning.rs
@@ -0,0 +1,93 @@
+//! What a side learns from entries and holds for others: the entries, the configuration.
+
+use std::time::Duration;
+
+use super::target_agent::TargetAgent;
+use super::{AgentEffect, SessionId};
+use crate::job::{
+    ConfigDocument, DocumentPart, EntryNews, KnownEntry, SideReport, directory_digest,
+};
+use crate::types::Moment;
+
+/// Several entries tell of a new version within a heartbeat (80 ms): after this a side can choose among them.
+const PATIENCE: Duration = Duration::from_millis(100);
+impl TargetAgent {
+    /// The version of the configuration that is held here, 0 for none.
+    pub(super) fn config_version(&self) -> u64 {
+        self.document.as_ref().map_or(0, |held| held.version)
+    }
+
+    /// An entry has told what it has.
+    pub(super) fn take_news(&mut self, session: SessionId, news: EntryNews) {
+        self.fetch.note_offer(session, news.config_version);
+        self.directory.announce(session, news.directory);
+    }
+
+    /// A link is gone, and with it what was asked there.
+    pub(super) fn forget_link(&mut self, session: SessionId) {
+        self.fetch.forget(session);
+        self.documents.forget(session);
+        self.directory.forget(session);
+    }
+
+    /// Asks one entry at a time for the entries that it knows, if they are others than those known here.
+    pub(super) fn fetch_directory(&mut self, now: Moment) {
+        if let Some(session) = self.directory.poll(now) {
+            self.send(session, SideReport::FetchEntries);
+        }
+    }
+
+    pub(super) fn learn_entries(&mut self, entries: Vec<KnownEntry>) {
+        if entries.is_empty() {
+            return;
+        }
+        self.directory.hold(directory_digest(&entries));
+        if entries == self.entries {
+            return;
+        }
+        self.entries = entries.clone();
+        self.effects.push(AgentEffect::Entries(entries));
+    }
+
+    /// Sends what others have asked for, and asks for what is newer elsewhere.
+    pub(super) fn relay_documents(&mut self, now: Moment) {
+        let link = self.settings.link;
+        let part = self.documents.poll(now, self.document.as_ref(), link);
+        if let Some((session, part)) = part {
+            self.send(session, SideReport::DocumentPart(part));
+        }
+        let known = self.config_version();
+        if let Some((session, request)) = self.fetch.poll(now, known, self.patience(), link) {
+            self.send(session, SideReport::FetchDocument(request));
+        }
+    }
+
+    /// A side that holds nothing yet asks at once.
+    fn patience(&self) -> Duration {
+        match self.document {
+            Some(_) => PATIENCE,
+            None => Duration::ZERO,
+        }
+    }
+
+    pub(super) fn take_part(&mut self, session: SessionId, part: DocumentPart) {
+        let whole = self.fetch.take_part(session, part);
+        let known = self.config_version();
+        if let Some(document) = whole.filter(|whole| whole.version > known) {
+            self.document = Some(document);
+        }
+    }
+
+    /// When something of this is due.
+    pub(super) fn relay_due(&self) -> Option<Moment> {
+        let asked = self.directory.next_tick();
+        let fetched = self.fetch.next_tick(self.patience());
+        let served = self.documents.next_tick();
+        asked.into_iter().chain(fetched).chain(served).min()
+    }
+
+    /// The newest configuration that is held.
+    pub fn document(&self) -> Option<&ConfigDocument> {
+        self.document.as_ref()
+    }
+}
--- a/crates/mastknot_core/src/agent/mod.rs
+++ b/crates/mastknot_core/src/agent/mod.rs
@@ -10,6 +10,8 @@
 mod agent_settings;
 mod answer_times;
 mod confirm_times;
+mod directory_news;
+mod learning;
 mod offers;
 mod orders;
 mod owners;
--- a/crates/mastknot_core/src/agent/orders.rs
+++ b/crates/mastknot_core/src/agent/orders.rs
@@ -25,15 +25,19 @@
             EntryOrder::Adopt(runs) => self.adopt(now, &key, runs),
             EntryOrder::Start(start) => self.start(now, &key, start),
             EntryOrder::Stop(run) => self.stop_for(now, &key, run),
-            EntryOrder::Heartbeat { heard, need } => {
+            EntryOrder::Heartbeat { heard, need, news } => {
                 let owner = self.owners.get_mut(&key);
                 if let Some(sent) = owner.and_then(|owner| owner.note_heard(heard)) {
                     self.confirm_times.note(now.since(sent));
                 }
                 self.take_need(now, &key, heard, need);
+                if let Some(news) = news {
+                    self.take_news(session, news);
+                }
             }
             EntryOrder::Entries(entries) => self.learn_entries(entries),
-            EntryOrder::Document(document) => self.learn_document(Some(document)),
+            EntryOrder::FetchDocument(request) => self.documents.request(session, request),
+            EntryOrder::DocumentPart(part) => self.take_part(session, part),
         }
     }
 
@@ -46,8 +50,7 @@
             incarnation: welcome.incarnation,
         };
         self.end_other_lives(now, &key);
-        self.learn_entries(welcome.entries);
-        self.learn_document(welcome.document);
+        self.take_news(session, welcome.news);
         if let Some(profile) = welcome.remembered_target {
             self.target_remembered(profile);
         }
@@ -58,6 +61,7 @@
         self.sessions.insert(session, key);
         if let Some(replaced) = replaced {
             self.sessions.swap_remove(&replaced);
+            self.forget_link(replaced);
             self.effects.push(AgentEffect::Close { session: replaced });
         }
     }
--- a/crates/mastknot_core/src/agent/owners.rs
+++ b/crates/mastknot_core/src/agent/owners.rs
@@ -42,6 +42,8 @@
     pub(crate) ended: Vec<EndedRun>,
     pub(crate) told: Told,
     pub(crate) last_sent: Moment,
+    /// The version of the configuration that the entry was told of.
+    told_version: u64,
     next_number: u64,
     sent: VecDeque<SentReport>,
 }
@@ -66,6 +68,7 @@
             ended: Vec::new(),
             told: Told::default(),
             last_sent: Moment::default(),
+            told_version: 0,
             next_number: 1,
             sent: VecDeque::new(),
         }
@@ -98,9 +101,16 @@
         newest
     }
 
+    /// The version to tell of, unless the entry knows it.
+    pub(crate) fn news_of_version(&mut self, version: u64) -> Option<u64> {
+        let told = std::mem::replace(&mut self.told_version, version);
+        (told != version).then_some(version)
+    }
+
     /// Takes a new link of the same life of the entry.
     pub(crate) fn take_session(&mut self, session: SessionId) {
         self.session = Some(session);
+        self.told_version = 0;
         self.is_resumed = false;
         self.starts = 0;
         self.told = Told::default();
--- a/crates/mastknot_core/src/agent/reporting.rs
+++ b/crates/mastknot_core/src/agent/reporting.rs
@@ -2,11 +2,9 @@
 
 use super::owners::{Owner, OwnerKey, Told};
 use super::target_agent::TargetAgent;
-use crate::job::{ConfigDocument, KnownEntry, Room, SideReport, SideStatus};
+use crate::job::{Room, SideReport, SideStatus};
 use crate::types::Moment;
 
-use super::AgentEffect;
-
 /// A change of the room by this share of the target, in thousandths, is news.
 const NOTABLE_PERMILLE: u32 = 200;
 
@@ -58,6 +56,7 @@
         let condition = self.condition;
         let pace_percent = self.pace.percent();
         let profile = self.link.profile.clone();
+        let config_version = self.config_version();
         let Some(owner) = self.owners.get_mut(key) else {
             return;
         };
@@ -83,31 +82,11 @@
             pace_percent,
             target: profile.filter(|_| is_new_target),
             ended: std::mem::take(&mut owner.ended),
+            config_version: owner.news_of_version(config_version),
         };
         self.send(session, SideReport::Status(status));
     }
 
-    pub(super) fn learn_entries(&mut self, entries: Vec<KnownEntry>) {
-        if entries.is_empty() || entries == self.entries {
-            return;
-        }
-        self.entries = entries;
-        let entries = self.entries.clone();
-        self.effects.push(AgentEffect::Entries(entries));
-    }
-
-    pub(super) fn learn_document(&mut self, document: Option<ConfigDocument>) {
-        let Some(document) = document else {
-            return;
-        };
-        let known = self.document.as_ref().map_or(0, |known| known.version);
-        if document.version <= known {
-            return;
-        }
-        self.document = Some(document.clone());
-        self.effects.push(AgentEffect::Document(document));
-    }
-
     /// What the target has in all.
     pub fn capacity(&self) -> Room {
         let profile = self.link.profile.as_ref();
--- a/crates/mastknot_core/src/agent/target_agent.rs
+++ b/crates/mastknot_core/src/agent/target_agent.rs
@@ -2,6 +2,7 @@
 
 use super::answer_times::AnswerTimes;
 use super::confirm_times::ConfirmTimes;
+use super::directory_news::DirectoryNews;
 use super::owners::{Owner, OwnerKey};
 use super::target_link::TargetLink;
 use super::target_pace::TargetPace;
@@ -13,7 +14,8 @@
     ConfigDocument, EndOfRun, EndedRun, KnownEntry, Room, RunId, SideHello, SideReport,
     TargetCondition, TargetId, TargetProfile,
 };
-use crate::types::Moment;
+use crate::relay::{DocumentFetch, DocumentServer};
+use crate::types::{Moment, stable_hash};
 
 /// A link on which the entry has not said yet who it is.
 #[derive(Clone, Copy, Debug)]
@@ -61,7 +63,11 @@
     pub(super) next_look: u64,
     pub(super) look_not_before: Moment,
     pub(super) entries: Vec<KnownEntry>,
+    pub(super) directory: DirectoryNews,
+    /// The newest configuration, held for entries that start while the store is away.
     pub(super) document: Option<ConfigDocument>,
+    pub(super) fetch: DocumentFetch<SessionId>,
+    pub(super) documents: DocumentServer<SessionId>,
     pub(super) condition: TargetCondition,
     pub(super) is_stopping: bool,
     pub(super) is_drained: bool,
@@ -71,6 +77,7 @@
 impl TargetAgent {
     /// An agent that knows nothing of its target yet.
     pub fn new(settings: AgentSettings) -> Self {
+        let first_choice = stable_hash(&[&settings.side]) as usize;
         Self {
             settings,
             started: None,
@@ -93,7 +100,10 @@
             next_look: 1,
             look_not_before: Moment::default(),
             entries: Vec::new(),
+            directory: DirectoryNews::default(),
             document: None,
+            fetch: DocumentFetch::new(first_choice),
+            documents: DocumentServer::default(),
             condition: TargetCondition::Absent,
             is_stopping: false,
             is_drained: false,
@@ -116,6 +126,8 @@
         self.ensure_look(now);
         self.make_offers(now);
         self.report_all(now);
+        self.relay_documents(now);
+        self.fetch_directory(now);
         self.note_drained();
         std::mem::take(&mut self.effects)
     }
@@ -153,13 +165,14 @@
             side: self.settings.side.clone(),
             incarnation: self.settings.incarnation,
             hall: self.settings.hall.clone(),
-            document: self.document.clone(),
+            config_version: self.config_version(),
         };
         self.send(session, SideReport::Hello(hello));
     }
 
     fn link_down(&mut self, session: SessionId) {
         self.greetings.swap_remove(&session);
+        self.forget_link(session);
         let Some(key) = self.sessions.swap_remove(&session) else {
             return;
         };
@@ -188,6 +201,7 @@
         };
         if let Some(session) = owner.session {
             self.sessions.swap_remove(&session);
+            self.forget_link(session);
             self.effects.push(AgentEffect::Close { session });
         }
         let runs = self.runs.of_owner(key);
@@ -277,11 +291,6 @@
         &self.confirm_times
     }
 
-    /// The newest configuration that was heard of.
-    pub fn document(&self) -> Option<&ConfigDocument> {
-        self.document.as_ref()
-    }
-
     pub(super) fn target_id(&self) -> Option<TargetId> {
         self.link.profile.as_ref().map(|profile| profile.id.clone())
     }
@@ -326,6 +335,7 @@
                 .then(|| self.started.unwrap_or_default() + self.settings.settle_limit),
             self.silence_due(),
             self.offers_end(),
+            self.relay_due(),
         ];
         let all = leases.chain(reports).chain(stops);
         all.chain(wakes.into_iter().flatten()).min()
--- a/crates/mastknot_core/src/job/entry_order.rs
+++ b/crates/mastknot_core/src/job/entry_order.rs
@@ -1,20 +1,12 @@
-use std::net::SocketAddr;
 use std::sync::Arc;
 
 use bincode::{Decode, Encode};
 
-use super::{ConfigDocument, Room, RunId, TargetProfile, WaitingNeed};
+use super::{
+    DocumentPart, DocumentRequest, EntryNews, KnownEntry, Room, RunId, TargetProfile, WaitingNeed,
+};
 use crate::types::{Incarnation, NodeName};
 
-/// An entry that a process knows of.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Encode, Decode)]
-pub struct KnownEntry {
-    /// Its name.
-    pub name: NodeName,
-    /// Where sides dial it.
-    pub address: SocketAddr,
-}
-
 /// An entry's first message on a link.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
 pub struct EntryWelcome {
@@ -24,10 +16,8 @@
     pub incarnation: Incarnation,
     /// What it last knew of the side's target, for a side that has just started.
     pub remembered_target: Option<TargetProfile>,
-    /// The entries it knows.
-    pub entries: Vec<KnownEntry>,
-    /// The configuration it has.
-    pub document: Option<ConfigDocument>,
+    /// What the side may ask it for.
+    pub news: EntryNews,
 }
 
 /// Starts a task.
@@ -72,9 +62,13 @@
         heard: u64,
         /// What waits at the entry for room.
         need: Option<WaitingNeed>,
+        /// What the side may ask for, if that has changed since it was told.
+        news: Option<EntryNews>,
     },
-    /// The entries have changed.
+    /// The entries that are known, for a side that has asked.
     Entries(Vec<KnownEntry>),
-    /// A newer configuration.
-    Document(ConfigDocument),
+    /// Asks for a part of the configuration that the side holds.
+    FetchDocument(DocumentRequest),
+    /// A part of the configuration, for a side that has asked.
+    DocumentPart(DocumentPart),
 }
--- a/crates/mastknot_core/src/job/mod.rs
+++ b/crates/mastknot_core/src/job/mod.rs
@@ -2,11 +2,14 @@
 
 mod attempt_numbers;
 mod config_document;
+mod document_part;
 mod end_of_run;
+mod entry_news;
 mod entry_order;
 mod job_answer;
 mod job_id;
 mod job_request;
+mod known_entry;
 mod lease_terms;
 mod queue_policy;
 mod room;
@@ -18,11 +21,14 @@
 
 pub use attempt_numbers::AttemptNumbers;
 pub use config_document::ConfigDocument;
+pub use document_part::{DocumentPart, DocumentRequest};
 pub use end_of_run::{EndOfRun, NotRunCause};
-pub use entry_order::{AdoptedRun, EntryOrder, EntryWelcome, KnownEntry, StartOrder};
+pub use entry_news::EntryNews;
+pub use entry_order::{AdoptedRun, EntryOrder, EntryWelcome, StartOrder};
 pub use job_answer::JobAnswer;
 pub use job_id::{JobId, JobIdError};
 pub use job_request::{JobRequest, JobRequestError};
+pub use known_entry::{KnownEntry, directory_digest};
 pub use lease_terms::LeaseTerms;
 pub use queue_policy::QueuePolicy;
 pub use room::Room;
--- a/crates/mastknot_core/src/job/side_report.rs
+++ b/crates/mastknot_core/src/job/side_report.rs
@@ -1,6 +1,6 @@
 use bincode::{Decode, Encode};
 
-use super::{ConfigDocument, EndOfRun, Room, RunId, TargetProfile};
+use super::{DocumentPart, DocumentRequest, EndOfRun, Room, RunId, TargetProfile};
 use crate::types::{Hall, Incarnation, NodeName};
 
 /// A side's first message on a link.
@@ -12,8 +12,8 @@
     pub incarnation: Incarnation,
     /// Its hall.
     pub hall: Hall,
-    /// The configuration that it last heard of.
-    pub document: Option<ConfigDocument>,
+    /// The version of the configuration that it holds, 0 for none.
+    pub config_version: u64,
 }
 
 /// A run that is over.
@@ -60,6 +60,9 @@
     pub target: Option<TargetProfile>,
     /// Runs of this entry that have ended.
     pub ended: Vec<EndedRun>,
+    /// The version of the configuration that the side holds, if that has changed since the last
+    /// report on this link.
+    pub config_version: Option<u64>,
 }
 
 /// What a side says to an entry.
@@ -77,4 +80,10 @@
     },
     /// How the target stands.
     Status(SideStatus),
+    /// Asks for the entries that the entry knows.
+    FetchEntries,
+    /// Asks for a part of the entry's configuration.
+    FetchDocument(DocumentRequest),
+    /// A part of the configuration, for an entry that has asked.
+    DocumentPart(DocumentPart),
 }
--- a/crates/mastknot_core/src/lib.rs
+++ b/crates/mastknot_core/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod entry;
 pub mod job;
 pub mod message;
+pub mod relay;
 pub mod roster;
 pub mod scheduler;
 pub mod side;
--- a/crates/mastknot_core/src/scheduler/job_scheduler.rs
+++ b/crates/mastknot_core/src/scheduler/job_scheduler.rs
@@ -10,7 +10,8 @@
     SchedulerSettings, SessionId,
 };
 use crate::job::{ConfigDocument, EntryOrder, JobId, KnownEntry};
-use crate::types::{Moment, NodeName};
+use crate::relay::{DocumentFetch, DocumentServer};
+use crate::types::{Moment, NodeName, stable_hash};
 
 /// The core of an entry: it owns the jobs that its callers hand in until they are answered.
 ///
@@ -28,7 +29,12 @@
     pub(super) sides: IndexMap<NodeName, SideView>,
     pub(super) sessions: HashMap<SessionId, NodeName>,
     pub(super) entries: Vec<KnownEntry>,
+    /// The digest of the entries that are known.
+    pub(super) directory: u64,
+    /// The configuration in force.
     pub(super) document: Option<ConfigDocument>,
+    pub(super) fetch: DocumentFetch<SessionId>,
+    pub(super) documents: DocumentServer<SessionId>,
     pub(super) next_sequence: u64,
     pub(super) run_times: RunTimes,
     /// When the last event was handled.
@@ -43,6 +49,7 @@
 impl JobScheduler {
     /// A scheduler that knows no side yet.
     pub fn new(settings: SchedulerSettings) -> Self {
+        let first_choice = stable_hash(&[&settings.entry]) as usize;
         Self {
             settings,
             jobs: HashMap::new(),
@@ -53,7 +60,10 @@
             sides: IndexMap::new(),
             sessions: HashMap::new(),
             entries: Vec::new(),
+            directory: 0,
             document: None,
+            fetch: DocumentFetch::new(first_choice),
+            documents: DocumentServer::default(),
             next_sequence: 0,
             run_times: RunTimes::default(),
             handled: Moment::default(),
@@ -76,6 +86,7 @@
         self.end_lost_runs(now);
         self.place_waiting(now);
         self.beat(now);
+        self.relay_documents(now);
         std::mem::take(&mut self.effects)
     }
 
@@ -96,36 +107,12 @@
                 }
             }
             SchedulerEvent::LinkDown { session } => self.link_down(now, session),
-            SchedulerEvent::Entries(entries) => self.tell_entries(entries),
-            SchedulerEvent::Document(document) => self.tell_document(document),
+            SchedulerEvent::Entries(entries) => self.set_entries(entries),
+            SchedulerEvent::Document(document) => self.set_document(document),
             SchedulerEvent::Tick => {}
         }
     }
 
-    fn tell_entries(&mut self, entries: Vec<KnownEntry>) {
-        if entries == self.entries {
-            return;
-        }
-        self.entries = entries.clone();
-        self.tell_all(&EntryOrder::Entries(entries));
-    }
-
-    fn tell_document(&mut self, document: ConfigDocument) {
-        let known = self.document.as_ref().map_or(0, |known| known.version);
-        if document.version <= known {
-            return;
-        }
-        self.document = Some(document.clone());
-        self.tell_all(&EntryOrder::Document(document));
-    }
-
-    fn tell_all(&mut self, order: &EntryOrder) {
-        let linked = self.sides.values().filter_map(|side| side.session);
-        for session in linked.collect::<Vec<_>>() {
-            self.send(session, order.clone());
-        }
-    }
-
     /// Jobs that are not answered.
     pub fn open_jobs(&self) -> usize {
         self.jobs.values().filter(|job| !job.is_over).count()
@@ -136,11 +123,6 @@
         self.waiting.len()
     }
 
-    /// The version of the configuration in force, 0 without one.
-    pub fn document_version(&self) -> u64 {
-        self.document.as_ref().map_or(0, |known| known.version)
-    }
-
     /// Jobs that are held, answered ones of which something may still run included.
     pub fn held_jobs(&self) -> usize {
         self.jobs.len()
@@ -192,6 +174,7 @@
             .chain(patience)
             .chain(sides)
             .chain(outlook)
+            .chain(self.relay_due())
             .min()
     }
 }
--- a/crates/mastknot_core/src/scheduler/mod.rs
+++ b/crates/mastknot_core/src/scheduler/mod.rs
@@ -8,6 +8,7 @@
 mod job_scheduler;
 mod order_key;
 mod placing;
+mod relaying;
 mod run_times;
 mod scheduler_counters;
 mod scheduler_decision;
--- /dev/null
+++ b/crates/mastknot_core/src/scheduler/relaying.rs
@@ -0,0 +1,95 @@
+//! What an entry has that others may lack, and the other way round: the entries, the configuration.
+
+use std::time::Duration;
+
+use super::job_scheduler::JobScheduler;
+use super::{SchedulerEffect, SessionId};
+use crate::job::{ConfigDocument, DocumentPart, EntryOrder, KnownEntry};
+use crate::types::{Moment, NodeName, stable_hash};
+
+/// So many sides hold the configuration for entries that start, or are turned away, while the store is out
+/// of reach. With 8 of 240, nine tenths of all sides may be lost before none is left in four cases of ten; an
+/// entry that still runs then gives it to others. All sides holding it cost eight times as many bytes a
+/// version at 62 sides.
+const HOLDERS: usize = 8;
+/// The store usually tells of a version within milliseconds: only after this others are asked for it.
+const PATIENCE: Duration = Duration::from_millis(500);
+/// The same for an entry that has no configuration yet and refuses all that comes.
+const FIRST_PATIENCE: Duration = Duration::from_millis(30);
+
+impl JobScheduler {
+    /// The version of the configuration in force, 0 without one.
+    pub fn document_version(&self) -> u64 {
+        self.document.as_ref().map_or(0, |known| known.version)
+    }
+
+    pub(super) fn set_entries(&mut self, entries: Vec<KnownEntry>) {
+        self.directory = crate::job::directory_digest(&entries);
+        self.entries = entries;
+    }
+
+    /// A newer configuration is in force here; heartbeats tell the sides that hold it.
+    pub(super) fn set_document(&mut self, document: ConfigDocument) {
+        if document.version > self.document_version() {
+            self.document = Some(document);
+        }
+    }
+
+    /// Chooses the sides that hold the configuration: the same ones at all entries that see the same sides.
+    pub(super) fn choose_holders(&mut self) {
+        let linked = self.sides.iter().filter(|(_, side)| side.session.is_some());
+        let ranked = linked.map(|(name, _)| (stable_hash(&[name]), name.clone()));
+        let mut ranked: Vec<(u32, NodeName)> = ranked.collect();
+        ranked.sort_unstable();
+        ranked.truncate(HOLDERS);
+        for (name, side) in &mut self.sides {
+            side.holds_documents = ranked.iter().any(|(_, holder)| holder == name);
+        }
+    }
+
+    /// A link is gone, and with it what was asked there.
+    pub(super) fn forget_link(&mut self, session: SessionId) {
+        self.fetch.forget(session);
+        self.documents.forget(session);
+    }
+
+    pub(super) fn send_entries(&mut self, session: SessionId) {
+        let entries = self.entries.clone();
+        self.send(session, EntryOrder::Entries(entries));
+    }
+
+    /// Sends what sides have asked for, and asks for what is newer elsewhere.
+    pub(super) fn relay_documents(&mut self, now: Moment) {
+        let link = self.settings.link;
+        let part = self.documents.poll(now, self.document.as_ref(), link);
+        if let Some((session, part)) = part {
+            self.send(session, EntryOrder::DocumentPart(part));
+        }
+        let known = self.document_version();
+        if let Some((session, request)) = self.fetch.poll(now, known, self.patience(), link) {
+            self.send(session, EntryOrder::FetchDocument(request));
+        }
+    }
+
+    fn patience(&self) -> Duration {
+        match self.document {
+            Some(_) => PATIENCE,
+            None => FIRST_PATIENCE,
+        }
+    }
+
+    pub(super) fn take_part(&mut self, session: SessionId, part: DocumentPart) {
+        let whole = self.fetch.take_part(session, part);
+        let known = self.document_version();
+        if let Some(document) = whole.filter(|whole| whole.version > known) {
+            self.effects.push(SchedulerEffect::Document(document));
+        }
+    }
+
+    /// When something of this is due.
+    pub(super) fn relay_due(&self) -> Option<Moment> {
+        let fetched = self.fetch.next_tick(self.patience());
+        let served = self.documents.next_tick();
+        fetched.into_iter().chain(served).min()
+    }
+}
--- a/crates/mastknot_core/src/scheduler/scheduler_settings.rs
+++ b/crates/mastknot_core/src/scheduler/scheduler_settings.rs
@@ -1,6 +1,7 @@
 use std::time::Duration;
 
 use crate::job::LeaseTerms;
+use crate::relay::LinkRate;
 use crate::types::{Incarnation, NodeName};
 
 /// After a quarter of its objective a job's wait counts as time that its caller lost: the users price
@@ -26,6 +27,8 @@
     pub patience: f64,
     /// When a refused caller is told to come back.
     pub retry_after: Duration,
+    /// What its link carries.
+    pub link: LinkRate,
 }
 
 impl SchedulerSettings {
@@ -39,6 +42,7 @@
             late_factor: 3,
             patience: DEFAULT_PATIENCE,
             retry_after: Duration::from_secs(1),
+            link: LinkRate::default(),
         }
     }
 }
--- a/crates/mastknot_core/src/scheduler/side_links.rs
+++ b/crates/mastknot_core/src/scheduler/side_links.rs
@@ -10,7 +10,7 @@
     AdoptedRun, EndOfRun, EndedRun, EntryOrder, EntryWelcome, RunId, SideHello, SideReport,
     SideStatus,
 };
-use crate::types::{Moment, NodeName};
+use crate::types::{Moment, NodeName, stable_hash};
 
 /// So many sides are told at once that tasks wait.
 const TOLD_FIRST: usize = 8;
@@ -35,7 +35,10 @@
         match report {
             SideReport::Hello(_) => {}
             SideReport::Resume { running, ended } => self.resume(now, &name, running, ended),
-            SideReport::Status(status) => self.take_status(now, &name, status),
+            SideReport::Status(status) => self.take_status(now, session, &name, status),
+            SideReport::FetchEntries => self.send_entries(session),
+            SideReport::FetchDocument(request) => self.documents.request(session, request),
+            SideReport::DocumentPart(part) => self.take_part(session, part),
         }
     }
 
@@ -51,28 +54,24 @@
         let remembered_target = view.target.clone();
         if let Some(replaced) = replaced {
             self.sessions.remove(&replaced);
+            self.forget_link(replaced);
             self.effects
                 .push(SchedulerEffect::Close { session: replaced });
         }
-        self.sessions.insert(session, name);
+        self.sessions.insert(session, name.clone());
+        self.fetch.note_offer(session, hello.config_version);
+        self.choose_holders();
+        let config_version = self.document_version();
+        let directory = self.directory;
+        let view = self.sides.get_mut(&name);
+        let news = view.and_then(|view| view.tell_news(config_version, directory));
         let welcome = EntryWelcome {
             entry: self.settings.entry.clone(),
             incarnation: self.settings.incarnation,
             remembered_target,
-            entries: self.entries.clone(),
-            document: self.document.clone(),
+            news: news.unwrap_or_default(),
         };
         self.send(session, EntryOrder::Welcome(welcome));
-        self.hear_document(hello);
-    }
-
-    fn hear_document(&mut self, hello: SideHello) {
-        let known = self.document.as_ref().map_or(0, |known| known.version);
-        if let Some(document) = hello.document
-            && document.version > known
-        {
-            self.effects.push(SchedulerEffect::Document(document));
-        }
     }
 
     /// Settles the runs of an earlier link: kept, ended, or lost.
@@ -129,7 +128,16 @@
         }
     }
 
-    fn take_status(&mut self, now: Moment, name: &NodeName, status: SideStatus) {
+    fn take_status(
+        &mut self,
+        now: Moment,
+        session: SessionId,
+        name: &NodeName,
+        status: SideStatus,
+    ) {
+        if let Some(version) = status.config_version {
+            self.fetch.note_offer(session, version);
+        }
         if let Some(view) = self.sides.get_mut(name) {
             view.take_status(&status);
             view.owes_heartbeat |= status.is_offer;
@@ -147,6 +155,7 @@
         let Some(name) = self.sessions.remove(&session) else {
             return;
         };
+        self.forget_link(session);
         let Some(view) = self.sides.get_mut(&name) else {
             return;
         };
@@ -157,6 +166,7 @@
         view.is_resumed = false;
         let age_ms = now.since(view.heard).as_millis() as u64;
         let runs = view.runs.len();
+        self.choose_holders();
         self.decided(SchedulerDecision::SideLeft {
             side: name,
             was_silent,
@@ -207,6 +217,8 @@
         let mut linked = self.sides.values().filter(|side| side.session.is_some());
         let is_time = linked.any(|side| now.since(side.beat_sent) >= every);
         let mut beats = Vec::new();
+        let config_version = self.document_version();
+        let directory = self.directory;
         for side in self.sides.values_mut() {
             let Some(session) = side.session else {
                 continue;
@@ -214,15 +226,16 @@
             let is_due = is_time && now.since(side.beat_sent) + SENT_TOGETHER >= every;
             if std::mem::take(&mut side.owes_heartbeat) || is_due {
                 side.beat_sent = now;
-                beats.push((session, side.heard_number));
+                let news = side.tell_news(config_version, directory);
+                beats.push((session, side.heard_number, news));
             }
         }
         if beats.is_empty() {
             return;
         }
         let need = self.waiting_need();
-        for (session, heard) in beats {
-            self.send(session, EntryOrder::Heartbeat { heard, need });
+        for (session, heard, news) in beats {
+            self.send(session, EntryOrder::Heartbeat { heard, need, news });
         }
     }
 
@@ -241,13 +254,7 @@
 /// A fixed number for each pair of an entry and a side: entries that see the same room then begin
 /// with different sides, and seldom send their starts to the same place.
 fn distance(entry: &NodeName, side: &NodeName) -> u32 {
-    const FNV_OFFSET: u32 = 0x811c_9dc5;
-    const FNV_PRIME: u32 = 0x0100_0193;
-    let bytes = entry.as_str().bytes().chain(side.as_str().bytes());
-    let hash = bytes.fold(FNV_OFFSET, |hash, byte| {
-        (hash ^ u32::from(byte)).wrapping_mul(FNV_PRIME)
-    });
-    (hash >> 8) % MAX_DISTANCE
+    (stable_hash(&[entry, side]) >> 8) % MAX_DISTANCE
 }
 
 fn lost_run(run: RunId) -> EndedRun {
--- a/crates/mastknot_core/src/scheduler/side_view.rs
+++ b/crates/mastknot_core/src/scheduler/side_view.rs
@@ -3,7 +3,7 @@
 use indexmap::IndexMap;
 
 use super::SessionId;
-use crate::job::{JobId, Room, RunId, SideStatus, TargetCondition, TargetProfile};
+use crate::job::{EntryNews, JobId, Room, RunId, SideStatus, TargetCondition, TargetProfile};
 use crate::types::{Hall, Incarnation, Moment};
 
 /// A start that the side's last report did not include.
@@ -25,6 +25,10 @@
     pub(crate) heard: Moment,
     pub(crate) heard_number: u64,
     pub(crate) beat_sent: Moment,
+    /// Whether it is one of the sides that hold the configuration for others.
+    pub(crate) holds_documents: bool,
+    /// What it was last told that it may ask for.
+    pub(crate) told_news: Option<EntryNews>,
     /// It is to hear at once from this entry.
     pub(crate) owes_heartbeat: bool,
     pub(crate) target: Option<TargetProfile>,
@@ -50,6 +54,8 @@
             heard: now,
             heard_number: 0,
             beat_sent: Moment::default(),
+            holds_documents: false,
+            told_news: None,
             owes_heartbeat: false,
             target: None,
             condition: TargetCondition::Absent,
@@ -69,6 +75,7 @@
         self.heard = now;
         self.heard_number = 0;
         self.beat_sent = Moment::default();
+        self.told_news = None;
         self.condition = TargetCondition::Absent;
         self.free = Room::default();
         self.starts = 0;
@@ -123,6 +130,20 @@
         is_linked && takes
     }
 
+    /// What it has not been told yet of what it may ask for; it counts as told.
+    pub(crate) fn tell_news(&mut self, config_version: u64, directory: u64) -> Option<EntryNews> {
+        let news = EntryNews {
+            config_version: if self.holds_documents {
+                config_version
+            } else {
+                0
+            },
+            directory,
+        };
+        let told = self.told_news.replace(news);
+        (told != Some(news)).then_some(news)
+    }
+
     /// Whether its target has a label.
     pub(crate) fn has_label(&self, label: &str) -> bool {
         let labels = self.target.iter().flat_map(|target| &target.labels);
--- a/crates/mastknot_core/tests/agent.rs
+++ b/crates/mastknot_core/tests/agent.rs
@@ -55,6 +55,7 @@
     let heartbeat = EntryOrder::Heartbeat {
         heard: 0,
         need: None,
+        news: None,
     };
     side.order(1_300, ENTRY, heartbeat);
     let effects = side.step(1_352, AgentEvent::Tick);
--- a/crates/mastknot_core/tests/common/entry.rs
+++ b/crates/mastknot_core/tests/common/entry.rs
@@ -58,7 +58,7 @@
             side: format!("side-{side}").as_str().into(),
             incarnation: Incarnation(1),
             hall: "hall".into(),
-            document: None,
+            config_version: 0,
         };
         self.reports(ms, side, vec![SideReport::Hello(hello)]);
         let running = Vec::new();
@@ -125,6 +125,7 @@
             pace_percent: 100,
             target: None,
             ended: Vec::new(),
+            config_version: None,
         }
     }
 
--- a/crates/mastknot_core/tests/common/side.rs
+++ b/crates/mastknot_core/tests/common/side.rs
@@ -6,8 +6,8 @@
     AgentEffect, AgentEvent, AgentSettings, SessionId, TargetAgent, TargetFinished, TargetView,
 };
 use mastknot_core::job::{
-    EndOfRun, EntryOrder, EntryWelcome, JobId, Room, RunId, SideReport, StartOrder, TargetId,
-    TargetProfile, TaskRef,
+    EndOfRun, EntryNews, EntryOrder, EntryWelcome, JobId, Room, RunId, SideReport, StartOrder,
+    TargetId, TargetProfile, TaskRef,
 };
 use mastknot_core::types::{Incarnation, Moment};
 
@@ -53,8 +53,7 @@
         entry: name.into(),
         incarnation: Incarnation(incarnation),
         remembered_target: None,
-        entries: Vec::new(),
-        document: None,
+        news: EntryNews::default(),
     })
 }
 
--- a/crates/mastknot_core/tests/room_offers.rs
+++ b/crates/mastknot_core/tests/room_offers.rs
@@ -16,7 +16,11 @@
         smallest: cpu(1_000),
     };
     let need = (waiting_millis > 0).then_some(need);
-    EntryOrder::Heartbeat { heard, need }
+    EntryOrder::Heartbeat {
+        heard,
+        need,
+        news: None,
+    }
 }
 
 /// The reports to one entry.
--- a/crates/mastknot_side/src/agent/agent_actor.rs
+++ b/crates/mastknot_side/src/agent/agent_actor.rs
@@ -266,7 +266,6 @@
                 },
             ),
             AgentEffect::Entries(entries) => self.dial_all(&entries),
-            AgentEffect::Document(_) => {}
             AgentEffect::TargetKnown(profile) => {
                 self.parts.profiles.send_replace(Some(profile));
             }
--- a/crates/mastknot_virtual/src/jobs/processes.rs
+++ b/crates/mastknot_virtual/src/jobs/processes.rs
@@ -2,6 +2,7 @@
 
 use mastknot_core::agent::{AgentEffect, AgentEvent, AgentSettings, TargetAgent};
 use mastknot_core::job::Room;
+use mastknot_core::relay::LinkRate;
 use mastknot_core::scheduler::{JobScheduler, SchedulerEffect, SchedulerEvent, SchedulerSettings};
 use mastknot_core::types::{Incarnation, Moment};
 
@@ -14,7 +15,10 @@
         node.life += 1;
         let name = format!("entry-{entry}");
         let incarnation = Incarnation(node.life);
-        let settings = SchedulerSettings::new(name.as_str().into(), incarnation);
+        let mut settings = SchedulerSettings::new(name.as_str().into(), incarnation);
+        if let Some(rate) = self.settings.entry_link {
+            settings.link = LinkRate::from_bytes_per_s(rate);
+        }
         node.core = Some(JobScheduler::new(settings));
         node.open.clear();
         node.tick_at = None;
@@ -175,7 +179,6 @@
                 self.order_look(side, open, wait.as_micros() as u64);
             }
             AgentEffect::Entries(_)
-            | AgentEffect::Document(_)
             | AgentEffect::TargetKnown(_)
             | AgentEffect::Decided(_)
             | AgentEffect::Drained => {}
--- a/crates/mastknot_virtual/tests/configuration_growth.rs
+++ b/crates/mastknot_virtual/tests/configuration_growth.rs
@@ -19,7 +19,7 @@
 use std::time::Duration;
 
 use mastknot_core::job::{JobAnswer, JobId};
-use mastknot_virtual::{JobSystem, JobSystemSettings};
+use mastknot_virtual::{JobFault, JobFaultPlan, JobSystem, JobSystemSettings};
 
 const ENTRIES: usize = 11;
 const SIDES: usize = 62;
@@ -112,3 +112,53 @@
         "{usual} bytes before, {later} after"
     );
 }
+
+#[test]
+fn links_that_are_all_reset_come_back_at_the_cost_of_small_messages() {
+    let mut system = system(THIN_LINK);
+    system.publish(ms(500), 2, LARGE, &ALL);
+    for entry in 0..ENTRIES {
+        for side in 0..SIDES {
+            let fault = JobFault::ResetLink { entry, side };
+            let at = ms(5_000);
+            system.plan(JobFaultPlan { at, fault });
+        }
+    }
+    system.run_until(ms(9_000));
+
+    let pairs = (ENTRIES * SIDES) as u64;
+    let opened = system.link_record().opened(ms(5_000), ms(9_000));
+    assert_eq!(opened, pairs, "each link is made again once");
+    let usual = system.link_record().bytes(ms(4_000), ms(5_000));
+    let restoring = system.link_record().bytes(ms(5_000), ms(6_000));
+    assert!(
+        restoring <= usual * 2,
+        "{usual} bytes a second, {restoring} in the second of the resets"
+    );
+}
+
+#[test]
+fn an_entry_that_the_store_turns_away_hears_of_a_version_from_others() {
+    let mut system = system(THIN_LINK);
+    system.publish(ms(2_000), 2, LARGE, &ALL[1..]);
+    system.run_until(ms(4_000));
+
+    assert_eq!(system.versions_in_force(), [2; ENTRIES]);
+}
+
+#[test]
+fn an_entry_that_starts_while_the_store_is_away_has_the_configuration_at_once() {
+    let mut system = system(THIN_LINK);
+    system.publish(ms(2_000), 2, LARGE, &ALL);
+    system.run_until(ms(5_000));
+    system.set_store_reachable(false);
+    let down = ms(200);
+    let fault = JobFault::KillEntry { entry: 3, down };
+    system.plan(JobFaultPlan {
+        at: ms(5_000),
+        fault,
+    });
+    system.run_until(ms(5_200 + 600));
+
+    assert_eq!(system.versions_in_force(), [2; ENTRIES]);
+}
--- a/crates/mastknot_wire/src/frame/wire_message.rs
+++ b/crates/mastknot_wire/src/frame/wire_message.rs
@@ -34,8 +34,7 @@
 impl WireMessage for EntryOrder {
     fn kind(&self) -> MessageKind {
         match self {
-            Self::Document(_) => MessageKind::Document,
-            Self::Welcome(welcome) if welcome.document.is_some() => MessageKind::Document,
+            Self::DocumentPart(_) => MessageKind::Document,
             Self::Start(_) => MessageKind::Work,
             _ => MessageKind::Control,
         }
@@ -45,7 +44,7 @@
 impl WireMessage for SideReport {
     fn kind(&self) -> MessageKind {
         match self {
-            Self::Hello(hello) if hello.document.is_some() => MessageKind::Document,
+            Self::DocumentPart(_) => MessageKind::Document,
             Self::Status(status) if !status.ended.is_empty() => MessageKind::Work,
             _ => MessageKind::Control,
         }
