--- a/crates/mastknot_runtime/src/lib.rs
+++ b/crates/mastknot_runtime/src/lib.rs
@@ -28,8 +28,9 @@
     CheckSettings, SettingsError, check_address, check_range, check_text, load_settings,
 };
 pub use shared_store::{
-    ConfigFeedSettings, Directory, DirectorySettings, SharedChanges, SharedItem, SharedLease,
-    SharedList, SharedStore, SharedStoreError, StoreCallCounts, feed_config, keep_directory,
+    ConfigFeedSettings, Directory, DirectorySettings, SharedChanges, SharedCheck, SharedItem,
+    SharedLease, SharedList, SharedStore, SharedStoreError, StoreCallCounts, feed_config,
+    keep_directory,
 };
 pub use signals::{Signals, StopSignal};
 pub use store::{
--- a/crates/mastknot_runtime/src/shared_store/mod.rs
+++ b/crates/mastknot_runtime/src/shared_store/mod.rs
@@ -9,7 +9,7 @@
 
 pub use config_feed::{ConfigFeedSettings, feed_config};
 pub use entry_directory::{Directory, DirectorySettings, keep_directory};
-pub use shared_item::{SharedChanges, SharedItem, SharedLease, SharedList};
+pub use shared_item::{SharedChanges, SharedCheck, SharedItem, SharedLease, SharedList};
 pub use shared_store_error::SharedStoreError;
 pub use store_call_counts::StoreCallCounts;
 
@@ -24,6 +24,14 @@
         key: &str,
     ) -> impl Future<Output = Result<Option<SharedItem>, SharedStoreError>> + Send;
 
+    /// Whether a key still has the revision that is known, 0 for a key that is not there; transfers its
+    /// value only if not.
+    fn check(
+        &self,
+        key: &str,
+        known: u64,
+    ) -> impl Future<Output = Result<SharedCheck, SharedStoreError>> + Send;
+
     /// All keys with a prefix.
     fn list(
         &self,
--- a/crates/mastknot_runtime/src/shared_store/shared_item.rs
+++ b/crates/mastknot_runtime/src/shared_store/shared_item.rs
@@ -29,6 +29,15 @@
     pub revision: u64,
 }
 
+/// What a check of one key found.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SharedCheck {
+    /// The store's revision at the check, or that of the changed value.
+    pub revision: u64,
+    /// The key's value if it has changed.
+    pub changed: Option<SharedItem>,
+}
+
 /// A lease at the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct SharedLease {
--- a/crates/mastknot_runtime/tests/directory.rs
+++ b/crates/mastknot_runtime/tests/directory.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use mastknot_runtime::{
-    Directory, DirectorySettings, SharedChanges, SharedItem, SharedLease, SharedList, SharedStore,
-    SharedStoreError, keep_directory,
+    Directory, DirectorySettings, SharedChanges, SharedCheck, SharedItem, SharedLease, SharedList,
+    SharedStore, SharedStoreError, keep_directory,
 };
 use tokio::sync::watch;
 use tokio::time::sleep;
@@ -60,6 +60,10 @@
         self.check().map(|()| None)
     }
 
+    async fn check(&self, _: &str, _: u64) -> Result<SharedCheck, SharedStoreError> {
+        unreachable!("a directory is listed and watched")
+    }
+
     async fn list(&self, _: &str) -> Result<SharedList, SharedStoreError> {
         self.check()?;
         let state = self.0.lock().unwrap();
