feat(scheduler): links beyond what an entry needs are on standby

Cause: each entry exchanged a heartbeat with each side 12.5 times a second both ways, 165,000 messages a second each way at 55 entries and 240 sides, though an entry there runs 13 tasks at a time. Change: an entry uses 64 links for starts (usual_links), those of the lowest rank by a hash of both names, so that each side is used by as many entries. On the others both ends speak once a second and no lease counts; nothing of the entry runs there. While tasks wait for room it wakes eight more each 50 ms, first those whose targets suit the job that waits, up to twice as many; a lost link is replaced at once. A woken side takes starts only once the entry has confirmed a report sent after that: leases are as before. Up to 64 sides nothing changes. Weighed: fewer links by the side's choice (needs the number of sides there), idle links at a slower heartbeat (a start under an old lease would lapse at once). Measured: standby_links.rs, five tests: heartbeats of 4 entries and 240 sides 1.8 MB a second with all links, 0.59 MB with 64; 150 tasks of 400 ms on entries with 4 links of 40 in use, all done within 900 ms; 60 random histories with faults.

--- a/crates/mastknot_core/src/agent/orders.rs
+++ b/crates/mastknot_core/src/agent/orders.rs
@@ -1,6 +1,6 @@
 //! What entries and the target's answers to orders change.
 
-use super::owners::{Owner, OwnerKey};
+use super::owners::{Duty, Owner, OwnerKey};
 use super::target_agent::TargetAgent;
 use super::{
     AgentDecision, AgentEffect, LeaseEndCause, OrderOutcome, OrderRefusal, Run, RunPhase, SessionId,
@@ -35,6 +35,8 @@
                     self.take_news(session, news);
                 }
             }
+            EntryOrder::Standby => self.stand_by(now, &key),
+            EntryOrder::Activate => self.wake(&key),
             EntryOrder::Entries(entries) => self.learn_entries(entries),
             EntryOrder::FetchDocument(request) => self.documents.request(session, request),
             EntryOrder::DocumentPart(part) => self.take_part(session, part),
@@ -165,6 +167,22 @@
         });
     }
 
+    /// The entry orders no starts until it wakes the link; what it has forgotten here is stopped.
+    fn stand_by(&mut self, now: Moment, key: &OwnerKey) {
+        for run in self.runs.of_owner(key) {
+            self.stop_run(now, run, EndOfRun::Stopped);
+        }
+        if let Some(owner) = self.owners.get_mut(key) {
+            owner.stand_by();
+        }
+    }
+
+    fn wake(&mut self, key: &OwnerKey) {
+        if let Some(owner) = self.owners.get_mut(key) {
+            owner.wake();
+        }
+    }
+
     fn reason_against(
         &self,
         now: Moment,
@@ -174,6 +192,10 @@
         if self.is_stopping || self.link.is_draining {
             return Some(NotRunCause::Draining);
         }
+        let owner = self.owners.get(key);
+        if owner.is_none_or(|owner| owner.duty != Duty::Active) {
+            return Some(NotRunCause::Late);
+        }
         let is_paused = self.health.is_on_probation() && now < self.health.paused_until();
         if self.condition == TargetCondition::Absent || self.link.token.is_none() {
             return Some(NotRunCause::TargetUnavailable);
--- a/crates/mastknot_core/src/agent/owners.rs
+++ b/crates/mastknot_core/src/agent/owners.rs
@@ -1,8 +1,9 @@
 use std::collections::VecDeque;
+use std::time::Duration;
 
 use super::SessionId;
 use super::offers::RoomOffer;
-use crate::job::{EndedRun, Room, TargetCondition, TargetId, WaitingNeed};
+use crate::job::{EndedRun, LeaseTerms, Room, TargetCondition, TargetId, WaitingNeed};
 use crate::types::{Incarnation, Moment, NodeName};
 
 /// One life of an entry.
@@ -12,6 +13,20 @@
     pub(crate) incarnation: Incarnation,
 }
 
+/// Whether an entry may start runs here.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Duty {
+    /// It may; its lease counts.
+    Active,
+    /// It may not, and nothing of it runs here: no lease counts.
+    Standby,
+    /// It may as soon as it has confirmed the report with this number, from which its lease counts.
+    Waking {
+        /// The report.
+        report: u64,
+    },
+}
+
 /// What an entry was last told.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub(crate) struct Told {
@@ -27,6 +42,7 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Owner {
     pub(crate) session: Option<SessionId>,
+    pub(crate) duty: Duty,
     /// Whether the runs of an earlier link have been settled on this one.
     pub(crate) is_resumed: bool,
     /// When the newest report was sent that the entry is known to have received.
@@ -58,6 +74,7 @@
     pub(crate) fn new(lease_from: Moment) -> Self {
         Self {
             session: None,
+            duty: Duty::Active,
             is_resumed: false,
             lease_from,
             starts: 0,
@@ -89,6 +106,11 @@
     /// The entry has received all reports up to this number; returns when the newest of them was
     /// sent, if it is news.
     pub(crate) fn note_heard(&mut self, heard: u64) -> Option<Moment> {
+        if let Duty::Waking { report } = self.duty
+            && heard >= report
+        {
+            self.duty = Duty::Active;
+        }
         let mut newest = None;
         while let Some(oldest) = self.sent.front().copied() {
             if oldest.number > heard {
@@ -101,6 +123,32 @@
         newest
     }
 
+    /// Nothing of the entry runs here until it wakes the link.
+    pub(crate) fn stand_by(&mut self) {
+        self.duty = Duty::Standby;
+        self.need = None;
+        self.offer = None;
+    }
+
+    /// The entry wants to start runs here again; it is told at once how the target stands.
+    pub(crate) fn wake(&mut self) {
+        if self.duty == Duty::Standby {
+            self.duty = Duty::Waking {
+                report: self.next_number,
+            };
+            self.told = Told::default();
+            self.last_sent = Moment::default();
+        }
+    }
+
+    /// After this long without a confirmed report the entry counts as gone.
+    pub(crate) fn lease_limit(&self, terms: &LeaseTerms) -> Duration {
+        match self.duty {
+            Duty::Active => terms.entry_lease,
+            Duty::Standby | Duty::Waking { .. } => terms.standby_silence,
+        }
+    }
+
     /// The version to tell of, unless the entry knows it.
     pub(crate) fn news_of_version(&mut self, version: u64) -> Option<u64> {
         let told = std::mem::replace(&mut self.told_version, version);
@@ -110,6 +158,7 @@
     /// Takes a new link of the same life of the entry.
     pub(crate) fn take_session(&mut self, session: SessionId) {
         self.session = Some(session);
+        self.duty = Duty::Active;
         self.told_version = 0;
         self.is_resumed = false;
         self.starts = 0;
--- a/crates/mastknot_core/src/agent/reporting.rs
+++ b/crates/mastknot_core/src/agent/reporting.rs
@@ -1,6 +1,6 @@
 //! When entries are told how the target stands.
 
-use super::owners::{Owner, OwnerKey, Told};
+use super::owners::{Duty, Owner, OwnerKey, Told};
 use super::target_agent::TargetAgent;
 use crate::job::{Room, SideReport, SideStatus};
 use crate::types::Moment;
@@ -27,6 +27,9 @@
         if !owner.ended.is_empty() {
             return Some(owner.last_sent);
         }
+        if owner.duty == Duty::Standby {
+            return Some(owner.last_sent + self.settings.terms.standby_heartbeat);
+        }
         let delay = match (self.is_news(key, owner), owner.need.is_some()) {
             (true, true) => self.settings.eager_report_delay,
             (true, false) => self.settings.idle_report_delay,
@@ -63,6 +66,7 @@
         let Some(session) = owner.session else {
             return;
         };
+        let is_standby = owner.duty == Duty::Standby;
         let is_new_target = owner.told.target != target;
         owner.told = Told {
             free,
@@ -79,6 +83,7 @@
             free,
             is_offer: owner.offer.is_some(),
             condition,
+            is_standby,
             pace_percent,
             target: profile.filter(|_| is_new_target),
             ended: std::mem::take(&mut owner.ended),
--- a/crates/mastknot_core/src/agent/target_agent.rs
+++ b/crates/mastknot_core/src/agent/target_agent.rs
@@ -186,8 +186,8 @@
 
     /// Stops what runs for entries that have been silent for their lease.
     fn end_lapsed_leases(&mut self, now: Moment) {
-        let limit = self.settings.terms.entry_lease;
-        let lapsed = |owner: &Owner| now.since(owner.lease_from) > limit;
+        let terms = &self.settings.terms;
+        let lapsed = |owner: &Owner| now.since(owner.lease_from) > owner.lease_limit(terms);
         let ended = self.owners.iter().filter(|(_, owner)| lapsed(owner));
         let ended: Vec<OwnerKey> = ended.map(|(key, _)| key.clone()).collect();
         for key in ended {
@@ -317,7 +317,7 @@
         let leases = self
             .owners
             .values()
-            .map(|owner| owner.lease_from + terms.entry_lease);
+            .map(|owner| owner.lease_from + owner.lease_limit(terms));
         let reports = self
             .owners
             .iter()
--- a/crates/mastknot_core/src/job/entry_order.rs
+++ b/crates/mastknot_core/src/job/entry_order.rs
@@ -65,6 +65,11 @@
         /// What the side may ask for, if that has changed since it was told.
         news: Option<EntryNews>,
     },
+    /// No start comes from this entry until it says otherwise: both ends say little on this link, and
+    /// no lease counts on it.
+    Standby,
+    /// Starts may come again, once the entry has confirmed a report that was sent after this.
+    Activate,
     /// The entries that are known, for a side that has asked.
     Entries(Vec<KnownEntry>),
     /// Asks for a part of the configuration that the side holds.
--- a/crates/mastknot_core/src/job/lease_terms.rs
+++ b/crates/mastknot_core/src/job/lease_terms.rs
@@ -18,6 +18,10 @@
     pub run_over_after: Duration,
     /// After this long without a word, an entry gives up its link to a side.
     pub silence: Duration,
+    /// Between two heartbeats of a link on standby.
+    pub standby_heartbeat: Duration,
+    /// After this long without a word, either end gives up a link on standby.
+    pub standby_silence: Duration,
 }
 
 impl Default for LeaseTerms {
@@ -28,6 +32,8 @@
             target_hold: Duration::from_millis(500),
             run_over_after: Duration::from_millis(600),
             silence: Duration::from_millis(350),
+            standby_heartbeat: Duration::from_millis(1_000),
+            standby_silence: Duration::from_millis(3_500),
         }
     }
 }
--- a/crates/mastknot_core/src/job/side_report.rs
+++ b/crates/mastknot_core/src/job/side_report.rs
@@ -54,6 +54,8 @@
     pub is_offer: bool,
     /// Whether it takes work.
     pub condition: TargetCondition,
+    /// Whether the link is on standby: the entry must not order starts.
+    pub is_standby: bool,
     /// Recent run times against their estimates, in percent.
     pub pace_percent: u32,
     /// The target, when it has changed since the last report on this link.
--- /dev/null
+++ b/crates/mastknot_core/src/scheduler/active_links.rs
@@ -0,0 +1,175 @@
+//! Which links are used for starts: with many sides, heartbeats on all of them cost more than the work.
+
+use std::time::Duration;
+
+use super::active_job::ActiveJob;
+use super::job_scheduler::JobScheduler;
+use super::side_view::{LinkDuty, SideView};
+use crate::job::EntryOrder;
+use crate::types::{Moment, NodeName};
+
+/// So many times the usual number are used at most, while tasks wait for room.
+const MOST_FACTOR: usize = 2;
+/// So many are woken at once, and no more for [`WAKE_INTERVAL`].
+const WOKEN_TOGETHER: usize = 8;
+/// Long enough that those woken before have reported (one exchange) and shown whether they have room.
+const WAKE_INTERVAL: Duration = Duration::from_millis(50);
+/// How often links beyond the usual number are looked for: the look goes through all sides.
+const SURPLUS_INTERVAL: Duration = Duration::from_millis(100);
+/// Links beyond the usual number are kept for so long after tasks last waited.
+const KEPT_FOR: Duration = Duration::from_secs(5);
+
+/// When links were woken, and until when more than usual are kept.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct ActiveLinks {
+    woken: Moment,
+    checked: Moment,
+    /// When a task last waited without a side that had room for it.
+    needed: Moment,
+    is_needed: bool,
+}
+
+impl JobScheduler {
+    /// Keeps the links of the lowest ranks in use, and more of them while tasks wait for room.
+    pub(super) fn adjust_active_links(&mut self, now: Moment) {
+        if self.sides.len() <= self.settings.usual_links {
+            return;
+        }
+        if !self.waiting.is_empty() {
+            self.active_links.needed = now;
+            self.active_links.is_needed = true;
+            self.wake_suitable(now);
+        }
+        let is_over = now.since(self.active_links.needed) > KEPT_FOR;
+        if self.active_links.is_needed && !is_over {
+            return;
+        }
+        self.active_links.is_needed = false;
+        if now >= self.active_links.checked + SURPLUS_INTERVAL {
+            self.active_links.checked = now;
+            self.stand_by_surplus();
+        }
+    }
+
+    /// Links that are used for starts.
+    pub fn active_links(&self) -> usize {
+        self.count_links(LinkDuty::Active)
+    }
+
+    /// When links beyond the usual number are given up.
+    pub(super) fn active_links_due(&self) -> Option<Moment> {
+        let due = self.active_links.needed + KEPT_FOR;
+        self.active_links.is_needed.then_some(due)
+    }
+
+    /// A link is gone: another one takes its place.
+    pub(super) fn fill_active_links(&mut self, now: Moment) {
+        let usual = self.settings.usual_links;
+        let missing = usual.saturating_sub(self.count_links(LinkDuty::Active));
+        let waking = self.count_links(LinkDuty::Waking);
+        let names = self.standby_names(missing.saturating_sub(waking), |_| true);
+        names.iter().for_each(|name| self.wake(now, name));
+    }
+
+    fn count_links(&self, duty: LinkDuty) -> usize {
+        let linked = self.sides.values().filter(|side| side.session.is_some());
+        linked.filter(|side| side.duty == duty).count()
+    }
+
+    /// Wakes links to targets that could run the first task that waits.
+    fn wake_suitable(&mut self, now: Moment) {
+        if now < self.active_links.woken + WAKE_INTERVAL {
+            return;
+        }
+        self.active_links.woken = now;
+        let first = self.waiting.values().next();
+        let Some(job) = first.and_then(|id| self.jobs.get(id)) else {
+            return;
+        };
+        let is_suitable = |side: &SideView| could_run(job, side);
+        let used = self.sides.values().filter(|side| side.session.is_some());
+        let used = used.filter(|side| side.duty != LinkDuty::Standby);
+        let (count, suitable) = used.fold((0, 0), |(count, suitable), side| {
+            (count + 1, suitable + usize::from(is_suitable(side)))
+        });
+        let usual = self.settings.usual_links;
+        // A queue's own targets may be few among many.
+        if count >= usual * MOST_FACTOR && suitable >= usual / 2 {
+            return;
+        }
+        let names = self.standby_names(WOKEN_TOGETHER, is_suitable);
+        names.iter().for_each(|name| self.wake(now, name));
+    }
+
+    /// Linked sides on standby, the lowest ranks first.
+    fn standby_names(&self, most: usize, filter: impl Fn(&SideView) -> bool) -> Vec<NodeName> {
+        if most == 0 {
+            return Vec::new();
+        }
+        let standby = self.sides.iter().filter(|(_, side)| {
+            side.session.is_some() && side.duty == LinkDuty::Standby && filter(side)
+        });
+        let mut ranked: Vec<(u32, &NodeName)> =
+            standby.map(|(name, side)| (side.rank, name)).collect();
+        ranked.sort_unstable();
+        ranked.truncate(most);
+        ranked.into_iter().map(|(_, name)| name.clone()).collect()
+    }
+
+    fn wake(&mut self, now: Moment, name: &NodeName) {
+        let Some(side) = self.sides.get_mut(name) else {
+            return;
+        };
+        let Some(session) = side.session else {
+            return;
+        };
+        side.duty = LinkDuty::Waking;
+        // A side that does not answer is given up after the silence of a link in use from now on;
+        // nothing runs there, so nothing depends on when it was really heard.
+        side.heard = now;
+        self.counters.links_woken += 1;
+        self.send(session, EntryOrder::Activate);
+    }
+
+    /// Puts links beyond the usual number on standby: the highest ranks, where nothing runs and the
+    /// target is known.
+    fn stand_by_surplus(&mut self) {
+        let mut used: Vec<(u32, NodeName)> = Vec::new();
+        for (name, side) in &self.sides {
+            if side.session.is_some() && side.duty != LinkDuty::Standby {
+                used.push((side.rank, name.clone()));
+            }
+        }
+        let usual = self.settings.usual_links;
+        if used.len() <= usual {
+            return;
+        }
+        used.sort_unstable();
+        for (_, name) in used.split_off(usual) {
+            self.stand_by(&name);
+        }
+    }
+
+    fn stand_by(&mut self, name: &NodeName) {
+        let Some(side) = self.sides.get_mut(name) else {
+            return;
+        };
+        let is_idle = side.runs.is_empty() && side.is_resumed && side.target.is_some();
+        let Some(session) = side.session.filter(|_| is_idle) else {
+            return;
+        };
+        side.duty = LinkDuty::Standby;
+        self.counters.links_stood_by += 1;
+        self.send(session, EntryOrder::Standby);
+    }
+}
+
+/// Whether a side's target is one of those that a job's tasks may run on, as far as it is known.
+fn could_run(job: &ActiveJob, side: &SideView) -> bool {
+    let Some(target) = &side.target else {
+        return true;
+    };
+    let labels = job.request.steps.iter();
+    let mut labels = labels.flat_map(|step| &step.required_label);
+    *target.service == *job.policy.service && labels.all(|label| side.has_label(label))
+}
--- a/crates/mastknot_core/src/scheduler/job_scheduler.rs
+++ b/crates/mastknot_core/src/scheduler/job_scheduler.rs
@@ -3,6 +3,7 @@
 use indexmap::IndexMap;
 
 use super::active_job::ActiveJob;
+use super::active_links::ActiveLinks;
 use super::run_times::RunTimes;
 use super::side_view::SideView;
 use super::{
@@ -40,6 +41,7 @@
     /// When the last event was handled.
     pub(super) handled: Moment,
     pub(super) has_told_waiting: bool,
+    pub(super) active_links: ActiveLinks,
     /// The place of the side that was last told first.
     pub(super) next_told: usize,
     pub(super) counters: SchedulerCounters,
@@ -68,6 +70,7 @@
             run_times: RunTimes::default(),
             handled: Moment::default(),
             has_told_waiting: false,
+            active_links: ActiveLinks::default(),
             next_told: 0,
             counters: SchedulerCounters::default(),
             effects: Vec::new(),
@@ -85,6 +88,7 @@
         self.handle(now, event);
         self.end_lost_runs(now);
         self.place_waiting(now);
+        self.adjust_active_links(now);
         self.beat(now);
         self.relay_documents(now);
         std::mem::take(&mut self.effects)
@@ -160,8 +164,8 @@
         let patience = self.patience.first().map(|(at, _)| *at);
         let sides = self.sides.values().filter_map(|side| match side.session {
             Some(_) => {
-                let beat = side.beat_sent + terms.heartbeat;
-                Some(beat.min(side.heard + terms.silence))
+                let beat = side.beat_sent + side.heartbeat(terms);
+                Some(beat.min(side.heard + side.silence(terms)))
             }
             None if !side.runs.is_empty() => Some(side.heard + terms.run_over_after),
             None => None,
@@ -175,6 +179,7 @@
             .chain(sides)
             .chain(outlook)
             .chain(self.relay_due())
+            .chain(self.active_links_due())
             .min()
     }
 }
--- a/crates/mastknot_core/src/scheduler/mod.rs
+++ b/crates/mastknot_core/src/scheduler/mod.rs
@@ -4,6 +4,7 @@
 //! - [`OrderKey`]: which waiting job is served first
 
 mod active_job;
+mod active_links;
 mod job_ends;
 mod job_scheduler;
 mod order_key;
--- a/crates/mastknot_core/src/scheduler/scheduler_settings.rs
+++ b/crates/mastknot_core/src/scheduler/scheduler_settings.rs
@@ -9,6 +9,11 @@
 /// without serving more (`docs/POLICY.md`, round 1).
 const DEFAULT_PATIENCE: f64 = 0.25;
 
+/// An entry of a deployment of 55 entries and 240 sides runs 13 tasks at a time (900 jobs of two tasks of 200 ms and
+/// others, a second, over all entries), and 64 targets of 16 cores hold 250 of them: with so much choice its work
+/// finds room as it does among all.
+const DEFAULT_USUAL_LINKS: usize = 64;
+
 /// What a [`JobScheduler`](super::JobScheduler) is set up with.
 #[derive(Clone, Debug, PartialEq)]
 pub struct SchedulerSettings {
@@ -29,6 +34,8 @@
     pub retry_after: Duration,
     /// What its link carries.
     pub link: LinkRate,
+    /// So many links to sides are used for starts as a rule.
+    pub usual_links: usize,
 }
 
 impl SchedulerSettings {
@@ -43,6 +50,7 @@
             patience: DEFAULT_PATIENCE,
             retry_after: Duration::from_secs(1),
             link: LinkRate::default(),
+            usual_links: DEFAULT_USUAL_LINKS,
         }
     }
 }
--- a/crates/mastknot_core/src/scheduler/side_links.rs
+++ b/crates/mastknot_core/src/scheduler/side_links.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use super::job_scheduler::JobScheduler;
-use super::side_view::SideView;
+use super::side_view::{LinkDuty, SideView};
 use super::{SchedulerDecision, SchedulerEffect, SessionId};
 use crate::job::{
     AdoptedRun, EndOfRun, EndedRun, EntryOrder, EntryWelcome, RunId, SideHello, SideReport,
@@ -49,7 +49,8 @@
         let replaced = view.session.take();
         view.incarnation = hello.incarnation;
         view.hall = hello.hall.clone();
-        view.distance = distance(&self.settings.entry, &hello.side);
+        view.rank = stable_hash(&[&self.settings.entry, &hello.side]);
+        view.distance = distance(view.rank);
         view.take_session(now, session);
         let remembered_target = view.target.clone();
         if let Some(replaced) = replaced {
@@ -141,6 +142,17 @@
         if let Some(view) = self.sides.get_mut(name) {
             view.take_status(&status);
             view.owes_heartbeat |= status.is_offer;
+            if view.duty == LinkDuty::Waking && !status.is_standby {
+                view.duty = LinkDuty::Active;
+                // Confirmed before any start is ordered there: the side's lease counts from its report.
+                let heard = view.heard_number;
+                let confirmed = EntryOrder::Heartbeat {
+                    heard,
+                    need: None,
+                    news: None,
+                };
+                self.send(session, confirmed);
+            }
         }
         for ended in &status.ended {
             self.run_over(now, name, ended);
@@ -167,6 +179,7 @@
         let age_ms = now.since(view.heard).as_millis() as u64;
         let runs = view.runs.len();
         self.choose_holders();
+        self.fill_active_links(now);
         self.decided(SchedulerDecision::SideLeft {
             side: name,
             was_silent,
@@ -177,9 +190,9 @@
 
     /// Gives up links on which nothing was heard.
     pub(super) fn end_silent_links(&mut self, now: Moment) {
-        let limit = self.settings.terms.silence;
+        let terms = &self.settings.terms;
         let linked = self.sides.values();
-        let silent = linked.filter(|side| now.since(side.heard) > limit);
+        let silent = linked.filter(|side| now.since(side.heard) > side.silence(terms));
         let silent: Vec<SessionId> = silent.filter_map(|side| side.session).collect();
         for session in silent {
             self.counters.links_silent += 1;
@@ -213,9 +226,9 @@
         if is_news {
             self.mark_told_first();
         }
-        let every = self.settings.terms.heartbeat;
+        let terms = self.settings.terms;
         let mut linked = self.sides.values().filter(|side| side.session.is_some());
-        let is_time = linked.any(|side| now.since(side.beat_sent) >= every);
+        let is_time = linked.any(|side| now.since(side.beat_sent) >= side.heartbeat(&terms));
         let mut beats = Vec::new();
         let config_version = self.document_version();
         let directory = self.directory;
@@ -223,6 +236,7 @@
             let Some(session) = side.session else {
                 continue;
             };
+            let every = side.heartbeat(&terms);
             let is_due = is_time && now.since(side.beat_sent) + SENT_TOGETHER >= every;
             if std::mem::take(&mut side.owes_heartbeat) || is_due {
                 side.beat_sent = now;
@@ -245,7 +259,7 @@
         for _ in 0..sides.min(TOLD_FIRST) {
             self.next_told = (self.next_told + 1) % sides;
             if let Some((_, side)) = self.sides.get_index_mut(self.next_told) {
-                side.owes_heartbeat = true;
+                side.owes_heartbeat = side.takes_work();
             }
         }
     }
@@ -253,8 +267,8 @@
 
 /// A fixed number for each pair of an entry and a side: entries that see the same room then begin
 /// with different sides, and seldom send their starts to the same place.
-fn distance(entry: &NodeName, side: &NodeName) -> u32 {
-    (stable_hash(&[entry, side]) >> 8) % MAX_DISTANCE
+fn distance(rank: u32) -> u32 {
+    (rank >> 8) % MAX_DISTANCE
 }
 
 fn lost_run(run: RunId) -> EndedRun {
--- a/crates/mastknot_core/src/scheduler/side_view.rs
+++ b/crates/mastknot_core/src/scheduler/side_view.rs
@@ -1,9 +1,12 @@
 use std::collections::VecDeque;
+use std::time::Duration;
 
 use indexmap::IndexMap;
 
 use super::SessionId;
-use crate::job::{EntryNews, JobId, Room, RunId, SideStatus, TargetCondition, TargetProfile};
+use crate::job::{
+    EntryNews, JobId, LeaseTerms, Room, RunId, SideStatus, TargetCondition, TargetProfile,
+};
 use crate::types::{Hall, Incarnation, Moment};
 
 /// A start that the side's last report did not include.
@@ -13,10 +16,24 @@
     room: Room,
 }
 
+/// Whether the link to a side is used for starts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum LinkDuty {
+    /// It is.
+    Active,
+    /// It is not: both ends say little.
+    Standby,
+    /// It will be, with the side's next report.
+    Waking,
+}
+
 /// What an entry knows of a side.
 #[derive(Clone, Debug)]
 pub(crate) struct SideView {
     pub(crate) session: Option<SessionId>,
+    pub(crate) duty: LinkDuty,
+    /// Its rank among the sides of this entry: the lowest are used first, others at each entry.
+    pub(crate) rank: u32,
     pub(crate) incarnation: Incarnation,
     pub(crate) hall: Hall,
     /// What this entry's tasks pay for it, in thousandths of a target: each entry prefers others.
@@ -47,6 +64,8 @@
     pub(crate) fn new(now: Moment, incarnation: Incarnation, hall: Hall) -> Self {
         Self {
             session: None,
+            duty: LinkDuty::Active,
+            rank: 0,
             incarnation,
             hall,
             distance: 0,
@@ -71,6 +90,7 @@
     /// Takes a new link; nothing is known of the room until its first report.
     pub(crate) fn take_session(&mut self, now: Moment, session: SessionId) {
         self.session = Some(session);
+        self.duty = LinkDuty::Active;
         self.is_resumed = false;
         self.heard = now;
         self.heard_number = 0;
@@ -100,6 +120,22 @@
         }
     }
 
+    /// Between two heartbeats on its link.
+    pub(crate) fn heartbeat(&self, terms: &LeaseTerms) -> Duration {
+        match self.duty {
+            LinkDuty::Standby => terms.standby_heartbeat,
+            LinkDuty::Active | LinkDuty::Waking => terms.heartbeat,
+        }
+    }
+
+    /// After this long without a word its link is given up.
+    pub(crate) fn silence(&self, terms: &LeaseTerms) -> Duration {
+        match self.duty {
+            LinkDuty::Standby => terms.standby_silence,
+            LinkDuty::Active | LinkDuty::Waking => terms.silence,
+        }
+    }
+
     /// Notes a start; returns nothing, the report that includes it will say what is left.
     pub(crate) fn note_start(&mut self, now: Moment, run: RunId, job: JobId, room: Room) {
         self.last_start = now;
@@ -122,7 +158,7 @@
 
     /// Whether work may be given to it now.
     pub(crate) fn takes_work(&self) -> bool {
-        let is_linked = self.session.is_some() && self.is_resumed;
+        let is_linked = self.session.is_some() && self.is_resumed && self.duty == LinkDuty::Active;
         let takes = matches!(
             self.condition,
             TargetCondition::Ready | TargetCondition::Probation
--- a/crates/mastknot_core/tests/common/entry.rs
+++ b/crates/mastknot_core/tests/common/entry.rs
@@ -122,6 +122,7 @@
             starts_included: 0,
             free: target_room(cpu_millis),
             condition: TargetCondition::Ready,
+            is_standby: false,
             pace_percent: 100,
             target: None,
             ended: Vec::new(),
--- a/crates/mastknot_entry/src/jobs/job_actor.rs
+++ b/crates/mastknot_entry/src/jobs/job_actor.rs
@@ -86,6 +86,8 @@
     pub config_version: u64,
     /// Links to sides.
     pub links: usize,
+    /// Those of them that are used for starts.
+    pub active_links: usize,
     /// Events since the start.
     pub counters: SchedulerCounters,
 }
@@ -198,6 +200,7 @@
             waiting_jobs: core.waiting_jobs(),
             config_version: core.document_version(),
             links: self.links.len(),
+            active_links: core.active_links(),
             counters: *core.counters(),
         }
     }
--- a/crates/mastknot_virtual/src/jobs/job_system.rs
+++ b/crates/mastknot_virtual/src/jobs/job_system.rs
@@ -44,6 +44,8 @@
     pub cpu_millis: u32,
     /// The bandwidth of an entry's link in each direction, in bytes a second; none is no limit.
     pub entry_link: Option<u64>,
+    /// How many links an entry uses for starts as a rule; none is the usual setting.
+    pub usual_links: Option<usize>,
     /// For everything that is left to chance.
     pub seed: u64,
 }
@@ -355,6 +357,12 @@
         (entries.map(JobScheduler::held_jobs).sum(), runs)
     }
 
+    /// How many links each entry that runs uses for starts.
+    pub fn active_links(&self) -> Vec<usize> {
+        let cores = self.entries.iter().filter_map(|node| node.core.as_ref());
+        cores.map(JobScheduler::active_links).collect()
+    }
+
     /// What an entry holds, for a failed test to show.
     pub fn describe_entry(&self, entry: usize) -> String {
         format!("{:?}", self.entries[entry].core)
--- a/crates/mastknot_virtual/src/jobs/processes.rs
+++ b/crates/mastknot_virtual/src/jobs/processes.rs
@@ -19,6 +19,9 @@
         if let Some(rate) = self.settings.entry_link {
             settings.link = LinkRate::from_bytes_per_s(rate);
         }
+        if let Some(links) = self.settings.usual_links {
+            settings.usual_links = links;
+        }
         node.core = Some(JobScheduler::new(settings));
         node.open.clear();
         node.tick_at = None;
--- a/crates/mastknot_virtual/tests/configuration_growth.rs
+++ b/crates/mastknot_virtual/tests/configuration_growth.rs
@@ -37,6 +37,7 @@
         sides: SIDES,
         cpu_millis: 16_000,
         entry_link: Some(entry_link),
+        usual_links: None,
         seed: 7,
     });
     system.publish(ms(100), 1, SMALL, &ALL);
--- a/crates/mastknot_virtual/tests/job_faults.rs
+++ b/crates/mastknot_virtual/tests/job_faults.rs
@@ -24,6 +24,7 @@
         sides: SIDES,
         cpu_millis: 16_000,
         entry_link: None,
+        usual_links: None,
         seed,
     })
 }
--- a/crates/mastknot_virtual/tests/job_overload.rs
+++ b/crates/mastknot_virtual/tests/job_overload.rs
@@ -60,6 +60,7 @@
         sides: SIDES,
         cpu_millis: TARGET_CPU,
         entry_link: None,
+        usual_links: None,
         seed,
     })
 }
--- /dev/null
+++ b/crates/mastknot_virtual/tests/standby_links.rs
@@ -0,0 +1,154 @@
+//! Entries with more sides than they need: some links are on standby, and are used when they are needed.
+
+use std::time::Duration;
+
+use mastknot_core::job::{JobAnswer, JobId};
+use mastknot_virtual::{
+    Direction, JobFault, JobFaultPlan, JobSystem, JobSystemSettings, TargetMood,
+};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+/// Histories that CI runs; `MASTKNOT_HISTORIES` asks for more.
+const CI_HISTORIES: u64 = 60;
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn system(entries: usize, sides: usize, usual_links: Option<usize>, seed: u64) -> JobSystem {
+    JobSystem::new(JobSystemSettings {
+        entries,
+        sides,
+        cpu_millis: 16_000,
+        entry_link: None,
+        usual_links,
+        seed,
+    })
+}
+
+fn completed(system: &JobSystem, jobs: &[JobId]) -> usize {
+    let is_completed = |job: &&JobId| {
+        let answers = system.audit().answers_to(**job);
+        answers
+            .iter()
+            .any(|given| given.answer == JobAnswer::Completed)
+    };
+    jobs.iter().filter(is_completed).count()
+}
+
+#[test]
+fn an_entry_uses_no_more_links_than_it_needs() {
+    let mut system = system(4, 240, None, 1);
+    system.run_until(ms(3_000));
+    assert_eq!(system.active_links(), [64; 4]);
+    let jobs: Vec<JobId> = (0..200)
+        .map(|number| system.submit(ms(3_000 + 10 * number), number as usize % 4, 8, ms(60)))
+        .collect();
+    system.run_until(ms(8_000));
+    assert_eq!(completed(&system, &jobs), jobs.len());
+    assert_eq!(system.active_links(), [64; 4]);
+    assert!(system.violations().is_empty());
+}
+
+/// Heartbeats of 4 entries and 240 sides: 1.8 MB a second with all links in use, 0.59 MB with 64.
+#[test]
+fn links_on_standby_cost_little() {
+    let bytes = |usual_links| {
+        let mut system = system(4, 240, Some(usual_links), 1);
+        system.run_until(ms(4_000));
+        system.link_record().bytes(ms(3_000), ms(4_000))
+    };
+    let (all, few) = (bytes(240), bytes(64));
+    assert!(few * 5 / 2 < all, "{few} of {all} bytes a second");
+}
+
+#[test]
+fn a_job_that_needs_more_room_gets_it_at_once() {
+    let mut system = system(2, 40, Some(4), 3);
+    system.run_until(ms(1_000));
+    // Four targets hold forty tasks.
+    let wide = system.submit(ms(1_000), 0, 150, ms(400));
+    system.run_until(ms(2_500));
+    let answers = system.audit().answers_to(wide);
+    assert_eq!(answers.len(), 1, "{answers:?}");
+    assert_eq!(answers[0].answer, JobAnswer::Completed);
+    assert!(answers[0].after < ms(900), "{:?}", answers[0].after);
+    system.run_until(ms(10_000));
+    assert_eq!(system.active_links(), [4; 2], "given up again");
+}
+
+#[test]
+fn links_that_are_lost_are_replaced_within_a_heartbeat() {
+    let mut system = system(2, 40, Some(8), 4);
+    system.run_until(ms(1_000));
+    for side in 0..30 {
+        let down = ms(20_000);
+        let fault = JobFault::KillSide { side, down };
+        system.plan(JobFaultPlan {
+            at: ms(1_000),
+            fault,
+        });
+    }
+    system.run_until(ms(1_100));
+    assert_eq!(system.active_links(), [8; 2]);
+}
+
+fn random_fault(rng: &mut StdRng, entries: usize, sides: usize) -> JobFault {
+    let entry = rng.random_range(0..entries);
+    let side = rng.random_range(0..sides);
+    let time = ms(rng.random_range(50..3_000));
+    match rng.random_range(0..8) {
+        0 => JobFault::KillEntry { entry, down: time },
+        1 => JobFault::FreezeEntry { entry, time },
+        2 => JobFault::KillSide { side, down: time },
+        3 => JobFault::FreezeSide { side, time },
+        4 => JobFault::CutLink {
+            entry,
+            side,
+            direction: [Direction::ToSide, Direction::ToEntry, Direction::Both]
+                [rng.random_range(0..3)],
+            time,
+        },
+        5 => JobFault::ResetLink { entry, side },
+        6 => JobFault::CrashTarget {
+            side,
+            down: time,
+            is_dark: rng.random(),
+        },
+        _ => JobFault::Mood {
+            side,
+            mood: TargetMood::Sound,
+            time,
+        },
+    }
+}
+
+/// Two bursts with a pause in which links go back to standby, and faults at any moment.
+#[test]
+fn random_histories_keep_the_promises() {
+    let histories = std::env::var("MASTKNOT_HISTORIES").ok();
+    let histories = histories.and_then(|text| text.parse().ok());
+    for seed in 0..histories.unwrap_or(CI_HISTORIES) {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let (entries, sides) = (3, 8);
+        let mut system = system(entries, sides, Some(2), seed);
+        for from in [500, 8_000] {
+            for number in 0..60 {
+                let at = ms(from + number * 25);
+                let tasks = rng.random_range(1..12);
+                let work = ms(rng.random_range(50..500));
+                system.submit(at, number as usize % entries, tasks, work);
+            }
+        }
+        for _ in 0..6 {
+            let at = ms(rng.random_range(300..11_000));
+            let fault = random_fault(&mut rng, entries, sides);
+            system.plan(JobFaultPlan { at, fault });
+        }
+        system.run_until(ms(20_000));
+        let violations = system.violations();
+        assert!(violations.is_empty(), "seed {seed}: {:?}", violations[0]);
+        assert_eq!(system.left_over(), (0, 0), "seed {seed}");
+    }
+}
