--- a/crates/mastknot_load/src/lib.rs
+++ b/crates/mastknot_load/src/lib.rs
@@ -9,6 +9,7 @@
 mod keys;
 mod overhead;
 mod process;
+mod scale;
 mod slopes;
 mod throughput;
 
@@ -20,5 +21,6 @@
 pub use error::LoadError;
 pub use faults::{FaultAudit, FaultPhase, FaultsPlan, FaultsReport, run_faults};
 pub use overhead::{OverheadPlan, OverheadReport, measure_overhead};
+pub use scale::{ScaleArm, ScalePlan, ScalePoint, draw_scale, measure_scale};
 pub use slopes::{Line, Point, Slope, SlopeGroup, SlopesPlan, measure_slopes};
 pub use throughput::{ThroughputPlan, ThroughputReport, measure_throughput};
--- a/crates/mastknot_load/src/main.rs
+++ b/crates/mastknot_load/src/main.rs
@@ -6,9 +6,9 @@
 use bpaf::{OptionParser, Parser, construct, long};
 use mastknot_core::config::Profile;
 use mastknot_load::{
-    Arm, Baseline, BenchProfile, ComparePlan, FaultsPlan, LoadError, OverheadPlan, SlopeGroup,
-    SlopesPlan, ThroughputPlan, compare, draw_trade, format_table, measure_overhead,
-    measure_slopes, measure_throughput, measure_trade, run_faults,
+    Arm, Baseline, BenchProfile, ComparePlan, FaultsPlan, LoadError, OverheadPlan, ScalePlan,
+    SlopeGroup, SlopesPlan, ThroughputPlan, compare, draw_scale, draw_trade, format_table,
+    measure_overhead, measure_scale, measure_slopes, measure_throughput, measure_trade, run_faults,
 };
 use serde::Serialize;
 
@@ -27,6 +27,10 @@
         out: PathBuf,
     },
     Faults(FaultsPlan),
+    Scale {
+        plan: ScalePlan,
+        out: Option<PathBuf>,
+    },
 }
 
 fn number<T>(name: &'static str, help: &'static str, fallback: T) -> impl Parser<T>
@@ -225,10 +229,35 @@
     .command("faults")
 }
 
+fn scale() -> impl Parser<Command> {
+    let seconds = number("seconds", "Virtual seconds of each point [4]", 4);
+    let jobs_per_side = number("jobs-per-side", "Jobs for each side, a second [5]", 5.0);
+    let link_mbps = number("link-mbps", "Bandwidth of an entry's link [25]", 25);
+    let version_bytes = number(
+        "version-bytes",
+        "Length of a configuration [350000]",
+        350_000,
+    );
+    let plan = construct!(ScalePlan {
+        seconds,
+        jobs_per_side,
+        link_mbps,
+        version_bytes
+    });
+    let out = long("out")
+        .help("File to draw (SVG)")
+        .argument::<PathBuf>("FILE")
+        .optional();
+    construct!(Command::Scale { plan, out })
+        .to_options()
+        .descr("What grows with entries times sides, on the real cores in virtual time, as JSON")
+        .command("scale")
+}
+
 fn options() -> OptionParser<Command> {
     let (overhead, throughput, compare) = (overhead(), throughput(), compare_options());
-    let (slopes, faults, curve) = (slopes(), faults(), curve());
-    construct!([overhead, throughput, compare, slopes, faults, curve])
+    let (slopes, faults, curve, scale) = (slopes(), faults(), curve(), scale());
+    construct!([overhead, throughput, compare, slopes, faults, curve, scale])
         .to_options()
         .version(env!("CARGO_PKG_VERSION"))
         .descr("Measure mastknot; every run is bounded in time and count and stays on loopback")
@@ -261,6 +290,13 @@
             draw_trade(&points, &title, &out)?;
             print(&points);
         }
+        Command::Scale { plan, out } => {
+            let points = measure_scale(&plan);
+            if let Some(file) = out {
+                draw_scale(&points, &file)?;
+            }
+            print(&points);
+        }
         Command::Slopes(plan) => print(&measure_slopes(plan).await?),
         Command::Throughput(plan) => print(&measure_throughput(plan).await?),
     }
--- a/crates/mastknot_virtual/src/jobs/job_system.rs
+++ b/crates/mastknot_virtual/src/jobs/job_system.rs
@@ -13,7 +13,7 @@
 
 use super::thin_links::{LinkRecord, Pipe};
 use super::virtual_target::{TargetMood, VirtualLook, VirtualStart, VirtualTarget};
-use super::{JobAudit, JobFault, JobFaultPlan, JobViolation};
+use super::{JobAudit, JobFault, JobFaultPlan, JobViolation, StepRecord};
 use crate::system::Schedule;
 
 /// One way between an entry and a side, in microseconds.
@@ -242,6 +242,8 @@
     /// Until when each entry's link carries a tenth of what it usually does.
     pub(super) throttled_until: Vec<u64>,
     pub(super) link_record: LinkRecord,
+    pub(super) entry_steps: StepRecord,
+    pub(super) side_steps: StepRecord,
     /// What the store has.
     pub(super) published: Option<ConfigDocument>,
     pub(super) is_store_reachable: bool,
@@ -272,6 +274,8 @@
             pipes: vec![Default::default(); settings.entries],
             throttled_until: vec![0; settings.entries],
             link_record: LinkRecord::default(),
+            entry_steps: StepRecord::default(),
+            side_steps: StepRecord::default(),
             published: None,
             is_store_reachable: true,
         };
@@ -357,6 +361,16 @@
         (entries.map(JobScheduler::held_jobs).sum(), runs)
     }
 
+    /// Calls of the entries' cores.
+    pub fn entry_steps(&self) -> StepRecord {
+        self.entry_steps
+    }
+
+    /// Calls of the sides' cores.
+    pub fn side_steps(&self) -> StepRecord {
+        self.side_steps
+    }
+
     /// How many links each entry that runs uses for starts.
     pub fn active_links(&self) -> Vec<usize> {
         let cores = self.entries.iter().filter_map(|node| node.core.as_ref());
--- a/crates/mastknot_virtual/src/jobs/processes.rs
+++ b/crates/mastknot_virtual/src/jobs/processes.rs
@@ -1,5 +1,7 @@
 //! Entries and sides: starts, steps, effects.
 
+use std::time::Instant;
+
 use mastknot_core::agent::{AgentEffect, AgentEvent, AgentSettings, TargetAgent};
 use mastknot_core::job::Room;
 use mastknot_core::relay::LinkRate;
@@ -51,8 +53,10 @@
         let Some(core) = &mut self.entries[entry].core else {
             return;
         };
+        let begun = Instant::now();
         let effects = core.step(now, event);
         let next = core.next_tick();
+        self.entry_steps.note(begun.elapsed());
         for effect in effects {
             self.entry_effect(entry, effect);
         }
@@ -68,8 +72,10 @@
         let Some(core) = &mut self.sides[side].core else {
             return;
         };
+        let begun = Instant::now();
         let effects = core.step(now, event);
         let next = core.next_tick();
+        self.side_steps.note(begun.elapsed());
         for effect in effects {
             self.side_effect(side, effect);
         }
--- a/crates/mastknot_virtual/src/jobs/thin_links.rs
+++ b/crates/mastknot_virtual/src/jobs/thin_links.rs
@@ -39,6 +39,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct LinkRecord {
     bytes: Vec<u64>,
+    messages: Vec<u64>,
     opened: Vec<u64>,
     closed: Vec<u64>,
     longest_waits: Vec<u64>,
@@ -68,8 +69,9 @@
         Self::add(&mut self.closed, at, 1);
     }
 
-    pub(super) fn note_bytes(&mut self, at: u64, bytes: u64) {
+    pub(super) fn note_message(&mut self, at: u64, bytes: u64) {
         Self::add(&mut self.bytes, at, bytes);
+        Self::add(&mut self.messages, at, 1);
     }
 
     fn note_wait(&mut self, at: u64, wait: u64) {
@@ -93,6 +95,11 @@
         Self::sum(&self.bytes, from, until)
     }
 
+    /// The messages handed to links in a time.
+    pub fn messages(&self, from: Duration, until: Duration) -> u64 {
+        Self::sum(&self.messages, from, until)
+    }
+
     /// The links opened in a time.
     pub fn opened(&self, from: Duration, until: Duration) -> u64 {
         Self::sum(&self.opened, from, until)
@@ -119,7 +126,7 @@
         act: Act,
     ) {
         let bytes = wire_size(message);
-        self.link_record.note_bytes(self.now, bytes);
+        self.link_record.note_message(self.now, bytes);
         let place = self.sessions.get(&session).copied();
         let Some((entry, _)) = place.filter(|_| self.settings.entry_link.is_some()) else {
             let at = self.arrival(session, is_to_side);
