--- /dev/null
+++ b/crates/mastknot_virtual/src/jobs/act.rs
@@ -0,0 +1,111 @@
+use mastknot_core::agent::{AgentEvent, SessionId};
+use mastknot_core::job::{ConfigDocument, EntryOrder, JobId, RunId, SideReport};
+use mastknot_core::scheduler::CallerId;
+
+use super::JobFault;
+use super::job_system::OpenLook;
+use super::virtual_target::VirtualStart;
+
+/// Something that happens at its time.
+#[derive(Clone, Debug)]
+pub(super) enum Act {
+    Dial {
+        entry: usize,
+        side: usize,
+    },
+    ToEntry {
+        entry: usize,
+        life: u64,
+        session: SessionId,
+        report: Box<SideReport>,
+    },
+    ToSide {
+        side: usize,
+        life: u64,
+        session: SessionId,
+        order: Box<EntryOrder>,
+    },
+    DownAtEntry {
+        entry: usize,
+        life: u64,
+        session: SessionId,
+    },
+    DownAtSide {
+        side: usize,
+        life: u64,
+        session: SessionId,
+    },
+    TickEntry {
+        entry: usize,
+        life: u64,
+    },
+    TickSide {
+        side: usize,
+        life: u64,
+    },
+    SideInput {
+        side: usize,
+        life: u64,
+        event: Box<AgentEvent>,
+    },
+    TargetStart {
+        side: usize,
+        life: u64,
+        start: Box<VirtualStart>,
+        is_answered: bool,
+    },
+    TargetStop {
+        side: usize,
+        life: u64,
+        run: RunId,
+        token: u64,
+        is_answered: bool,
+    },
+    TargetLook {
+        side: usize,
+        open: Box<OpenLook>,
+        wait: u64,
+    },
+    LookWaited {
+        side: usize,
+        number: u64,
+    },
+    TargetDue {
+        side: usize,
+    },
+    Beat {
+        side: usize,
+        lives: u64,
+    },
+    Submit {
+        job: JobId,
+        entry: usize,
+    },
+    CallerTimeout {
+        caller: CallerId,
+    },
+    Fault(JobFault),
+    StartEntry {
+        entry: usize,
+    },
+    StartSide {
+        side: usize,
+    },
+    StartTarget {
+        side: usize,
+    },
+    MoodOver {
+        side: usize,
+    },
+    SegmentSent {
+        entry: usize,
+        is_to_side: bool,
+        session: SessionId,
+        bytes: u64,
+    },
+    Publish(ConfigDocument),
+    Published {
+        entry: usize,
+        document: ConfigDocument,
+    },
+}
--- a/crates/mastknot_virtual/src/jobs/callers.rs
+++ b/crates/mastknot_virtual/src/jobs/callers.rs
@@ -9,8 +9,9 @@
 use rand::RngExt;
 
 use super::GivenAnswer;
+use super::act::Act;
 use super::job_system::{
-    ANSWER_SLACK, Act, CALLER_TIME, Caller, JobSystem, MAX_TRIES, MILLI, RESEND_AFTER,
+    ANSWER_SLACK, CALLER_TIME, Caller, JobSystem, MAX_TRIES, MILLI, RESEND_AFTER,
 };
 
 impl JobSystem {
--- a/crates/mastknot_virtual/src/jobs/job_audit.rs
+++ b/crates/mastknot_virtual/src/jobs/job_audit.rs
@@ -113,6 +113,15 @@
         answers.filter(|given| is_kind(&given.answer)).count()
     }
 
+    /// How many of these jobs were answered as completed.
+    pub fn completed(&self, jobs: &[JobId]) -> usize {
+        let is_completed = |job: &&JobId| {
+            let mut answers = self.answers_to(**job).iter();
+            answers.any(|given| given.answer == JobAnswer::Completed)
+        };
+        jobs.iter().filter(is_completed).count()
+    }
+
     /// What the callers of a job were told, in order.
     pub fn answers_to(&self, job: JobId) -> &[GivenAnswer] {
         self.answers.get(&job).map_or(&[], Vec::as_slice)
--- a/crates/mastknot_virtual/src/jobs/job_system.rs
+++ b/crates/mastknot_virtual/src/jobs/job_system.rs
@@ -3,17 +3,16 @@
 use std::time::Duration;
 
 use mastknot_core::agent::{AgentEvent, DialBackoff, SessionId, TargetAgent};
-use mastknot_core::job::{
-    ConfigDocument, EntryOrder, JobId, JobRequest, Room, RunId, SideReport, StepSpec,
-};
+use mastknot_core::job::{ConfigDocument, JobId, JobRequest, Room, StepSpec};
 use mastknot_core::scheduler::{CallerId, JobScheduler, SchedulerEvent};
 use mastknot_core::types::Moment;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
+use super::act::Act;
 use super::thin_links::{LinkRecord, Pipe};
-use super::virtual_target::{TargetMood, VirtualLook, VirtualStart, VirtualTarget};
-use super::{JobAudit, JobFault, JobFaultPlan, JobViolation, StepRecord};
+use super::virtual_target::{TargetMood, VirtualLook, VirtualTarget};
+use super::{JobAudit, JobFaultPlan, StepRecord};
 use crate::system::Schedule;
 
 /// One way between an entry and a side, in microseconds.
@@ -112,109 +111,6 @@
     pub(super) tries: u32,
 }
 
-#[derive(Clone, Debug)]
-pub(super) enum Act {
-    Dial {
-        entry: usize,
-        side: usize,
-    },
-    ToEntry {
-        entry: usize,
-        life: u64,
-        session: SessionId,
-        report: Box<SideReport>,
-    },
-    ToSide {
-        side: usize,
-        life: u64,
-        session: SessionId,
-        order: Box<EntryOrder>,
-    },
-    DownAtEntry {
-        entry: usize,
-        life: u64,
-        session: SessionId,
-    },
-    DownAtSide {
-        side: usize,
-        life: u64,
-        session: SessionId,
-    },
-    TickEntry {
-        entry: usize,
-        life: u64,
-    },
-    TickSide {
-        side: usize,
-        life: u64,
-    },
-    SideInput {
-        side: usize,
-        life: u64,
-        event: Box<AgentEvent>,
-    },
-    TargetStart {
-        side: usize,
-        life: u64,
-        start: Box<VirtualStart>,
-        is_answered: bool,
-    },
-    TargetStop {
-        side: usize,
-        life: u64,
-        run: RunId,
-        token: u64,
-        is_answered: bool,
-    },
-    TargetLook {
-        side: usize,
-        open: Box<OpenLook>,
-        wait: u64,
-    },
-    LookWaited {
-        side: usize,
-        number: u64,
-    },
-    TargetDue {
-        side: usize,
-    },
-    Beat {
-        side: usize,
-        lives: u64,
-    },
-    Submit {
-        job: JobId,
-        entry: usize,
-    },
-    CallerTimeout {
-        caller: CallerId,
-    },
-    Fault(JobFault),
-    StartEntry {
-        entry: usize,
-    },
-    StartSide {
-        side: usize,
-    },
-    StartTarget {
-        side: usize,
-    },
-    MoodOver {
-        side: usize,
-    },
-    SegmentSent {
-        entry: usize,
-        is_to_side: bool,
-        session: SessionId,
-        bytes: u64,
-    },
-    Publish(ConfigDocument),
-    Published {
-        entry: usize,
-        document: ConfigDocument,
-    },
-}
-
 /// Entries, sides, fake targets and callers in virtual time.
 pub struct JobSystem {
     pub(super) settings: JobSystemSettings,
@@ -343,51 +239,6 @@
         self.now = until;
     }
 
-    /// Broken promises so far.
-    pub fn violations(&self) -> Vec<JobViolation> {
-        self.audit.finish(&self.unanswered)
-    }
-
-    /// What callers and targets saw.
-    pub fn audit(&self) -> &JobAudit {
-        &self.audit
-    }
-
-    /// Jobs and runs that the cores still hold; none when all is quiet.
-    pub fn left_over(&self) -> (usize, usize) {
-        let entries = self.entries.iter().filter_map(|node| node.core.as_ref());
-        let sides = self.sides.iter().filter_map(|node| node.core.as_ref());
-        let runs = sides.map(|core| core.runs().len()).sum();
-        (entries.map(JobScheduler::held_jobs).sum(), runs)
-    }
-
-    /// Calls of the entries' cores.
-    pub fn entry_steps(&self) -> StepRecord {
-        self.entry_steps
-    }
-
-    /// Calls of the sides' cores.
-    pub fn side_steps(&self) -> StepRecord {
-        self.side_steps
-    }
-
-    /// How many links each entry that runs uses for starts.
-    pub fn active_links(&self) -> Vec<usize> {
-        let cores = self.entries.iter().filter_map(|node| node.core.as_ref());
-        cores.map(JobScheduler::active_links).collect()
-    }
-
-    /// What an entry holds, for a failed test to show.
-    pub fn describe_entry(&self, entry: usize) -> String {
-        format!("{:?}", self.entries[entry].core)
-    }
-
-    /// The room that each side believes to be free, in thousandths of a core.
-    pub fn free_cpu(&self) -> Vec<u32> {
-        let sides = self.sides.iter().filter_map(|node| node.core.as_ref());
-        sides.map(|core| core.free().cpu_millis).collect()
-    }
-
     pub(super) fn moment(&self) -> Moment {
         Moment::from_micros(self.now)
     }
--- a/crates/mastknot_virtual/src/jobs/links.rs
+++ b/crates/mastknot_virtual/src/jobs/links.rs
@@ -6,7 +6,8 @@
 use mastknot_core::scheduler::SchedulerEvent;
 use rand::RngExt;
 
-use super::job_system::{Act, JobSystem, LINK_DELAY};
+use super::act::Act;
+use super::job_system::{JobSystem, LINK_DELAY};
 
 impl JobSystem {
     pub(super) fn dial(&mut self, entry: usize, side: usize) {
--- a/crates/mastknot_virtual/src/jobs/mod.rs
+++ b/crates/mastknot_virtual/src/jobs/mod.rs
@@ -1,10 +1,12 @@
 //! Jobs of sized tasks: the real cores of entries and sides, with fake targets, links and callers.
 
+mod act;
 mod callers;
 mod job_audit;
 mod job_faults;
 mod job_system;
 mod links;
+mod observing;
 mod processes;
 mod publishing;
 mod step_record;
--- /dev/null
+++ b/crates/mastknot_virtual/src/jobs/observing.rs
@@ -0,0 +1,53 @@
+//! What a test may read of the system.
+
+use mastknot_core::scheduler::JobScheduler;
+
+use super::job_system::JobSystem;
+use super::{JobAudit, JobViolation, StepRecord};
+
+impl JobSystem {
+    /// Broken promises so far.
+    pub fn violations(&self) -> Vec<JobViolation> {
+        self.audit.finish(&self.unanswered)
+    }
+
+    /// What callers and targets saw.
+    pub fn audit(&self) -> &JobAudit {
+        &self.audit
+    }
+
+    /// Jobs and runs that the cores still hold; none when all is quiet.
+    pub fn left_over(&self) -> (usize, usize) {
+        let entries = self.entries.iter().filter_map(|node| node.core.as_ref());
+        let sides = self.sides.iter().filter_map(|node| node.core.as_ref());
+        let runs = sides.map(|core| core.runs().len()).sum();
+        (entries.map(JobScheduler::held_jobs).sum(), runs)
+    }
+
+    /// Calls of the entries' cores.
+    pub fn entry_steps(&self) -> StepRecord {
+        self.entry_steps
+    }
+
+    /// Calls of the sides' cores.
+    pub fn side_steps(&self) -> StepRecord {
+        self.side_steps
+    }
+
+    /// How many links each entry that runs uses for starts.
+    pub fn active_links(&self) -> Vec<usize> {
+        let cores = self.entries.iter().filter_map(|node| node.core.as_ref());
+        cores.map(JobScheduler::active_links).collect()
+    }
+
+    /// What an entry holds, for a failed test to show.
+    pub fn describe_entry(&self, entry: usize) -> String {
+        format!("{:?}", self.entries[entry].core)
+    }
+
+    /// The room that each side believes to be free, in thousandths of a core.
+    pub fn free_cpu(&self) -> Vec<u32> {
+        let sides = self.sides.iter().filter_map(|node| node.core.as_ref());
+        sides.map(|core| core.free().cpu_millis).collect()
+    }
+}
--- a/crates/mastknot_virtual/src/jobs/processes.rs
+++ b/crates/mastknot_virtual/src/jobs/processes.rs
@@ -8,7 +8,8 @@
 use mastknot_core::scheduler::{JobScheduler, SchedulerEffect, SchedulerEvent, SchedulerSettings};
 use mastknot_core::types::{Incarnation, Moment};
 
-use super::job_system::{Act, JobSystem, LINK_DELAY, MILLI, OpenLook};
+use super::act::Act;
+use super::job_system::{JobSystem, LINK_DELAY, MILLI, OpenLook};
 use super::virtual_target::{VirtualLook, VirtualStart};
 
 impl JobSystem {
--- a/crates/mastknot_virtual/src/jobs/publishing.rs
+++ b/crates/mastknot_virtual/src/jobs/publishing.rs
@@ -6,7 +6,8 @@
 use mastknot_core::job::ConfigDocument;
 use mastknot_core::scheduler::SchedulerEvent;
 
-use super::job_system::{Act, JobSystem};
+use super::act::Act;
+use super::job_system::JobSystem;
 
 /// How long an entry that has just started takes to read the store, in microseconds.
 const READ_TIME: u64 = 5_000;
--- a/crates/mastknot_virtual/src/jobs/strikes.rs
+++ b/crates/mastknot_virtual/src/jobs/strikes.rs
@@ -3,7 +3,8 @@
 use mastknot_core::agent::SessionId;
 use mastknot_core::scheduler::CallerId;
 
-use super::job_system::{Act, JobSystem};
+use super::act::Act;
+use super::job_system::JobSystem;
 use super::{Direction, JobFault};
 
 impl JobSystem {
--- a/crates/mastknot_virtual/src/jobs/targets.rs
+++ b/crates/mastknot_virtual/src/jobs/targets.rs
@@ -6,7 +6,8 @@
 use mastknot_core::job::{Room, RunId, TargetId, TargetProfile};
 use rand::RngExt;
 
-use super::job_system::{Act, BEAT, CallFate, JobSystem, MILLI, OpenLook, TARGET_DELAY};
+use super::act::Act;
+use super::job_system::{BEAT, CallFate, JobSystem, MILLI, OpenLook, TARGET_DELAY};
 use super::virtual_target::{TargetMood, VirtualStart, VirtualTarget};
 
 impl JobSystem {
--- a/crates/mastknot_virtual/src/jobs/thin_links.rs
+++ b/crates/mastknot_virtual/src/jobs/thin_links.rs
@@ -7,7 +7,8 @@
 use bincode::enc::write::SizeWriter;
 use mastknot_core::agent::SessionId;
 
-use super::job_system::{Act, JobSystem};
+use super::act::Act;
+use super::job_system::JobSystem;
 
 /// What is sent of one link before the next has its turn, in bytes: a segment of TCP on Ethernet.
 const SEGMENT_BYTES: u64 = 1_460;
--- a/crates/mastknot_virtual/tests/configuration_growth.rs
+++ b/crates/mastknot_virtual/tests/configuration_growth.rs
@@ -18,7 +18,7 @@
 
 use std::time::Duration;
 
-use mastknot_core::job::{JobAnswer, JobId};
+use mastknot_core::job::JobId;
 use mastknot_virtual::{JobFault, JobFaultPlan, JobSystem, JobSystemSettings};
 
 const ENTRIES: usize = 11;
@@ -56,16 +56,6 @@
         .collect()
 }
 
-fn completed(system: &JobSystem, jobs: &[JobId]) -> usize {
-    let is_completed = |job: &&JobId| {
-        let answers = system.audit().answers_to(**job);
-        answers
-            .iter()
-            .any(|given| given.answer == JobAnswer::Completed)
-    };
-    jobs.iter().filter(is_completed).count()
-}
-
 #[test]
 fn a_configuration_that_grows_costs_no_link() {
     let mut system = system(THIN_LINK);
@@ -75,7 +65,7 @@
 
     let closed = system.link_record().closed(ms(1_500), ms(9_000));
     assert_eq!(closed, 0, "links were given up though nothing is wrong");
-    assert_eq!(completed(&system, &jobs), jobs.len());
+    assert_eq!(system.audit().completed(&jobs), jobs.len());
     assert_eq!(system.versions_in_force(), [2; ENTRIES]);
     assert!(system.violations().is_empty());
 }
--- a/crates/mastknot_virtual/tests/standby_links.rs
+++ b/crates/mastknot_virtual/tests/standby_links.rs
@@ -27,16 +27,6 @@
     })
 }
 
-fn completed(system: &JobSystem, jobs: &[JobId]) -> usize {
-    let is_completed = |job: &&JobId| {
-        let answers = system.audit().answers_to(**job);
-        answers
-            .iter()
-            .any(|given| given.answer == JobAnswer::Completed)
-    };
-    jobs.iter().filter(is_completed).count()
-}
-
 #[test]
 fn an_entry_uses_no_more_links_than_it_needs() {
     let mut system = system(4, 240, None, 1);
@@ -46,7 +36,7 @@
         .map(|number| system.submit(ms(3_000 + 10 * number), number as usize % 4, 8, ms(60)))
         .collect();
     system.run_until(ms(8_000));
-    assert_eq!(completed(&system, &jobs), jobs.len());
+    assert_eq!(system.audit().completed(&jobs), jobs.len());
     assert_eq!(system.active_links(), [64; 4]);
     assert!(system.violations().is_empty());
 }
