test(agent): lists of entries by digest, links woken from standby

Change: five cases on the side's core: one question for a list, an old list is not believed against others, another entry is asked, a woken link's first start waits for a confirmed report, standby outlives the lease. All pass; no product code changed.

--- /dev/null
+++ b/crates/mastknot_core/tests/side_learning.rs
@@ -0,0 +1,139 @@
+//! Which entries a side knows: told by digests, asked for from one entry at a time. And when a woken link
+//! takes starts.
+
+mod common;
+
+use common::side::*;
+use mastknot_core::agent::{AgentEffect, AgentEvent, SessionId};
+use mastknot_core::job::{
+    EndOfRun, EntryNews, EntryOrder, KnownEntry, NotRunCause, SideReport, directory_digest,
+};
+
+const THIRD: SessionId = SessionId(3);
+
+fn entries(count: u16) -> Vec<KnownEntry> {
+    let entry = |number| KnownEntry {
+        name: format!("entry-{number}").as_str().into(),
+        address: ([127, 0, 0, 1], 7_000 + number).into(),
+    };
+    (1..=count).map(entry).collect()
+}
+
+/// A heartbeat that tells which list the entry has.
+fn telling(list: &[KnownEntry]) -> EntryOrder {
+    EntryOrder::Heartbeat {
+        heard: 0,
+        need: None,
+        news: Some(EntryNews {
+            config_version: 0,
+            directory: directory_digest(list),
+        }),
+    }
+}
+
+/// The links on which the side asked for the list.
+fn asked(effects: &[AgentEffect]) -> Vec<SessionId> {
+    let sessions = effects.iter().filter_map(|effect| match effect {
+        AgentEffect::Send {
+            session,
+            report: SideReport::FetchEntries,
+        } => Some(*session),
+        _ => None,
+    });
+    sessions.collect()
+}
+
+fn side_with_three_entries() -> Side {
+    let mut side = Side::ready();
+    side.join(1_000, OTHER, "entry-2", 1);
+    side.join(1_000, THIRD, "entry-3", 1);
+    side
+}
+
+#[test]
+fn a_list_that_several_entries_tell_of_is_asked_for_once() {
+    let mut side = side_with_three_entries();
+    let list = entries(3);
+    assert_eq!(asked(&side.order(1_010, ENTRY, telling(&list))), [ENTRY]);
+    assert_eq!(asked(&side.order(1_011, OTHER, telling(&list))), []);
+    let effects = side.order(1_020, ENTRY, EntryOrder::Entries(list.clone()));
+    assert!(effects.contains(&AgentEffect::Entries(list.clone())));
+    assert_eq!(asked(&side.order(1_021, THIRD, telling(&list))), []);
+}
+
+#[test]
+fn an_entry_that_keeps_an_old_list_is_not_believed_against_the_others() {
+    let mut side = side_with_three_entries();
+    let (old, new) = (entries(2), entries(3));
+    side.order(1_010, ENTRY, telling(&new));
+    side.order(1_010, OTHER, telling(&new));
+    side.order(1_020, ENTRY, EntryOrder::Entries(new.clone()));
+    let effects = side.order(1_030, THIRD, telling(&old));
+    assert_eq!(asked(&effects), []);
+}
+
+#[test]
+fn another_entry_is_asked_when_the_first_one_is_silent_or_gone() {
+    let mut side = side_with_three_entries();
+    let list = entries(3);
+    side.order(1_010, ENTRY, telling(&list));
+    side.order(1_010, OTHER, telling(&list));
+    let link_down = AgentEvent::LinkDown { session: ENTRY };
+    assert_eq!(asked(&side.step(1_020, link_down)), [OTHER]);
+    side.order(1_030, THIRD, telling(&list));
+    // The silent one's lease ends as well; the third is still there.
+    let heartbeat = telling(&list);
+    let effects = side.order(1_200, THIRD, heartbeat);
+    assert_eq!(asked(&effects), [], "the answer may still come");
+}
+
+#[test]
+fn a_woken_link_takes_a_start_only_after_a_report_was_confirmed() {
+    let mut side = Side::ready();
+    side.order(1_010, ENTRY, EntryOrder::Standby);
+    let effects = side.order(1_800, ENTRY, EntryOrder::Activate);
+    let report = effects.iter().find_map(|effect| match effect {
+        AgentEffect::Send {
+            report: SideReport::Status(status),
+            ..
+        } => Some(status.clone()),
+        _ => None,
+    });
+    let report = report.expect("a woken link is told at once how the target stands");
+    assert!(!report.is_standby);
+
+    let effects = side.order(1_801, ENTRY, start(1, 1_000));
+    let is_order = |effect: &AgentEffect| matches!(effect, AgentEffect::Order { .. });
+    assert!(!effects.iter().any(is_order), "no lease counts yet");
+    let ended = effects.iter().any(|effect| match effect {
+        AgentEffect::Send {
+            report: SideReport::Status(status),
+            ..
+        } => status
+            .ended
+            .iter()
+            .any(|ended| ended.end == EndOfRun::NotRun(NotRunCause::Late)),
+        _ => false,
+    });
+    assert!(ended, "the entry learns that it has not run");
+
+    let confirm = EntryOrder::Heartbeat {
+        heard: report.number,
+        need: None,
+        news: None,
+    };
+    side.order(1_803, ENTRY, confirm);
+    let effects = side.order(1_804, ENTRY, start(2, 1_000));
+    assert!(effects.iter().any(is_order));
+}
+
+#[test]
+fn a_link_on_standby_outlives_the_lease_and_not_the_silence() {
+    let mut side = Side::ready();
+    side.order(1_010, ENTRY, EntryOrder::Standby);
+    let close = AgentEffect::Close { session: ENTRY };
+    let effects = side.step(2_500, AgentEvent::Tick);
+    assert!(!effects.contains(&close));
+    let effects = side.step(4_600, AgentEvent::Tick);
+    assert!(effects.contains(&close));
+}
