--- a/crates/mastknot_core/src/lib.rs
+++ b/crates/mastknot_core/src/lib.rs
@@ -11,6 +11,13 @@
 //! - [`config`]: the configuration that every node has in force
 //! - [`entry`]: all of an entry's parts behind one `step`
 //!
+//! For jobs of sized tasks under leases, on a platform with a store of its own:
+//!
+//! - [`job`]: jobs, and the messages between entries and sides
+//! - [`scheduler`]: an entry, which owns jobs until they are answered
+//! - [`agent`]: a side, which runs tasks on its target
+//! - [`relay`]: passing on the configuration in parts
+//!
 //! This crate has no feature flags.
 
 pub mod admission;
