fix(side): a late report of a target does not bring an older life back

Cause: a worker's heartbeat that a cut held back may arrive after the worker has crashed and its next life has reported. The side took the last to arrive for the newest: all runs counted as lost, entries started them again beside the runs that went on, and a target that had said it leaves was given work again by an older word of the same life. Change: reports carry the number that rises within one life; lives that have ended are remembered; a report of another life than the known one is settled by a look at once (the target refuses calls that name another life), also at a process that has just started and knows neither. A silent life without runs gives way. Two decisions in logs and mastknot_side_events: late_target_report, other_target_life.

--- a/crates/mastknot_core/src/agent/agent_decision.rs
+++ b/crates/mastknot_core/src/agent/agent_decision.rs
@@ -86,6 +86,16 @@
         /// Runs of an earlier life that were found.
         survivors: usize,
     },
+    /// A report of the target was not taken: it is late, or of a life that is over.
+    LateReport {
+        /// The life that it is of.
+        target: TargetId,
+    },
+    /// Another life of the target has reported; a look will tell whether the known one is over.
+    OtherLife {
+        /// The life that reported.
+        target: TargetId,
+    },
     /// A look failed.
     LookFailed {
         /// How many in a row.
--- a/crates/mastknot_core/src/agent/agent_event.rs
+++ b/crates/mastknot_core/src/agent/agent_event.rs
@@ -1,4 +1,4 @@
-use super::SessionId;
+use super::{SessionId, TargetReport};
 use crate::job::{EntryOrder, KnownEntry, RunId, TargetId, TargetProfile};
 
 /// Why a target refused an order without doing anything.
@@ -120,12 +120,7 @@
         session: SessionId,
     },
     /// The target reported itself.
-    TargetReported {
-        /// What it says of itself.
-        profile: TargetProfile,
-        /// Whether it is leaving.
-        is_draining: bool,
-    },
+    TargetReported(TargetReport),
     /// What the target once said of itself, as an earlier life of this process wrote it down.
     TargetRemembered(TargetProfile),
     /// The target has left by plan.
--- a/crates/mastknot_core/src/agent/mod.rs
+++ b/crates/mastknot_core/src/agent/mod.rs
@@ -23,6 +23,7 @@
 mod target_agent;
 mod target_health;
 mod target_link;
+mod target_lives;
 mod target_pace;
 mod views;
 
@@ -39,6 +40,7 @@
 pub use run_table::{Run, RunPhase, RunTable};
 pub use target_agent::TargetAgent;
 pub use target_health::TargetHealth;
+pub use target_lives::TargetReport;
 
 /// One link between a side and an entry, unique within its process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
--- a/crates/mastknot_core/src/agent/target_agent.rs
+++ b/crates/mastknot_core/src/agent/target_agent.rs
@@ -5,6 +5,7 @@
 use super::directory_news::DirectoryNews;
 use super::owners::{Owner, OwnerKey};
 use super::target_link::TargetLink;
+use super::target_lives::TargetLives;
 use super::target_pace::TargetPace;
 use super::{
     AgentDecision, AgentEffect, AgentEvent, AgentSettings, LeaseEndCause, RunPhase, RunTable,
@@ -45,6 +46,7 @@
     pub(super) settled: Option<Moment>,
     pub(super) survivors_stopped: Option<Moment>,
     pub(super) link: TargetLink,
+    pub(super) lives: TargetLives,
     pub(super) health: TargetHealth,
     pub(super) pace: TargetPace,
     pub(super) answers: AnswerTimes,
@@ -85,6 +87,7 @@
             settled: None,
             survivors_stopped: None,
             link: TargetLink::default(),
+            lives: TargetLives::default(),
             health: TargetHealth::default(),
             pace: TargetPace::default(),
             answers: AnswerTimes::default(),
@@ -141,10 +144,7 @@
                 }
             }
             AgentEvent::LinkDown { session } => self.link_down(session),
-            AgentEvent::TargetReported {
-                profile,
-                is_draining,
-            } => self.target_reported(now, profile, is_draining),
+            AgentEvent::TargetReported(report) => self.target_reported(now, report),
             AgentEvent::TargetRemembered(profile) => self.target_remembered(profile),
             AgentEvent::TargetLeft { target } => self.target_left(now, &target),
             AgentEvent::OrderAnswered { run, outcome } => self.order_answered(now, run, outcome),
--- a/crates/mastknot_core/src/agent/views.rs
+++ b/crates/mastknot_core/src/agent/views.rs
@@ -6,7 +6,8 @@
 use super::target_agent::{LookInFlight, TargetAgent};
 use super::target_pace::SHORTEST_STRETCH;
 use super::{
-    AgentDecision, AgentEffect, HowEnded, LookFailure, RunPhase, TargetFinished, TargetView,
+    AgentDecision, AgentEffect, HowEnded, LookFailure, RunPhase, TargetFinished, TargetReport,
+    TargetView,
 };
 use crate::job::{
     EndOfRun, EndedRun, NotRunCause, RunId, TargetCondition, TargetId, TargetProfile,
@@ -58,7 +59,7 @@
     fn needs_look(&self) -> bool {
         let is_probing = self.link.token.is_none() || !self.link.is_settled;
         let is_busy = !self.runs.is_empty() || !self.survivors.is_empty();
-        is_probing || is_busy || self.link.failed_looks > 0
+        is_probing || is_busy || self.link.failed_looks > 0 || self.lives.other.is_some()
     }
 
     pub(super) fn look_due(&self) -> Option<Moment> {
@@ -95,7 +96,7 @@
     /// How long the next look may wait for an end: not at all while the target is unknown.
     fn look_wait(&self) -> Duration {
         let is_unknown = self.link.token.is_none() || !self.link.is_settled;
-        if is_unknown || self.link.failed_looks > 0 {
+        if is_unknown || self.link.failed_looks > 0 || self.lives.other.is_some() {
             return Duration::ZERO;
         }
         let is_open = self.runs.iter().any(|(_, run)| run.phase_is_open());
@@ -149,6 +150,9 @@
 
     fn viewed(&mut self, now: Moment, sent: Moment, view: TargetView) {
         self.link.read_clock(now, view.clock_ms);
+        if let Some(target) = self.lives.known_answered(sent) {
+            self.decided(AgentDecision::LateReport { target });
+        }
         if self.link.token.is_none() {
             self.take_token(now, view.clock_ms);
             return;
@@ -295,6 +299,9 @@
 
     /// The target's life is over: nothing of it runs any more.
     pub(super) fn instance_over(&mut self, now: Moment) {
+        if let Some(target) = self.target_id() {
+            self.lives.end(target);
+        }
         self.link.forget_instance();
         self.health = Default::default();
         self.pace = Default::default();
@@ -302,6 +309,7 @@
         self.look_not_before = now;
         self.survivors.clear();
         self.lose_all(now);
+        self.take_other_life(now);
     }
 
     fn lose_all(&mut self, now: Moment) {
@@ -310,17 +318,31 @@
         }
     }
 
-    pub(super) fn target_reported(
-        &mut self,
-        now: Moment,
-        profile: TargetProfile,
-        is_draining: bool,
-    ) {
-        let known = self.link.profile.as_ref().map(|known| &known.id);
-        let is_other = known.is_some_and(|known| *known != profile.id);
-        if is_other {
-            self.instance_over(now);
+    /// Takes what a target says of itself. A report of another life than the known one ends that only if
+    /// the target, asked at once for the known life, says so.
+    pub(super) fn target_reported(&mut self, now: Moment, report: TargetReport) {
+        let target = report.profile.id.clone();
+        if self.lives.has_ended(&target) {
+            self.decided(AgentDecision::LateReport { target });
+            return;
+        }
+        if self.target_id().is_some_and(|known| known != target) {
+            self.lives.note_other(now, report);
+            // The look that is under way may wait for long.
+            self.look = None;
+            self.look_not_before = now;
+            self.decided(AgentDecision::OtherLife { target });
+            return;
         }
+        if !self.lives.take_number(report.number) {
+            self.decided(AgentDecision::LateReport { target });
+            return;
+        }
+        self.take_report(now, report);
+    }
+
+    fn take_report(&mut self, now: Moment, report: TargetReport) {
+        let profile = report.profile;
         if self.link.profile.is_none() || self.link.failed_looks > 0 {
             self.look_not_before = now;
         }
@@ -332,7 +354,15 @@
             self.effects.push(AgentEffect::TargetKnown(profile));
         }
         self.link.profile = Some(profile);
-        self.link.is_draining = is_draining;
+        self.link.is_draining = report.is_draining;
+    }
+
+    /// The life that has reported meanwhile takes the place of one that is over.
+    fn take_other_life(&mut self, now: Moment) {
+        if let Some(other) = self.lives.other.take() {
+            self.lives.take_number(other.report.number);
+            self.take_report(now, other.report);
+        }
     }
 
     /// A profile from before is good for the life of the target that said it: orders and looks
@@ -353,6 +383,11 @@
         if self.silence_due().is_some_and(|due| now >= due) {
             self.lose_all(now);
         }
+        // Nothing can run twice any more: a life that is silent gives way.
+        let is_silent = self.link.failed_looks >= ABSENT_AFTER && self.runs.is_empty();
+        if is_silent && self.lives.other.is_some() {
+            self.instance_over(now);
+        }
         let condition = self.condition_now(now);
         if condition == self.condition {
             return;
--- a/crates/mastknot_core/tests/common/side.rs
+++ b/crates/mastknot_core/tests/common/side.rs
@@ -3,7 +3,8 @@
 use std::sync::Arc;
 
 use mastknot_core::agent::{
-    AgentEffect, AgentEvent, AgentSettings, SessionId, TargetAgent, TargetFinished, TargetView,
+    AgentEffect, AgentEvent, AgentSettings, SessionId, TargetAgent, TargetFinished, TargetReport,
+    TargetView,
 };
 use mastknot_core::job::{
     EndOfRun, EntryNews, EntryOrder, EntryWelcome, JobId, Room, RunId, SideReport, StartOrder,
@@ -48,6 +49,18 @@
     }
 }
 
+/// What a life of the target reports.
+pub fn report(target: &str, number: u64) -> TargetReport {
+    TargetReport {
+        profile: TargetProfile {
+            id: TargetId(Arc::from(target)),
+            ..profile()
+        },
+        is_draining: false,
+        number,
+    }
+}
+
 pub fn welcome(name: &str, incarnation: u64) -> EntryOrder {
     EntryOrder::Welcome(EntryWelcome {
         entry: name.into(),
@@ -80,15 +93,7 @@
         let effects = side.step(0, AgentEvent::Tick);
         let effects = side.answer_look(1, &effects, 1_000, Vec::new());
         side.answer_look(3, &effects, 1_002, Vec::new());
-        let profile = profile();
-        let is_draining = false;
-        side.step(
-            4,
-            AgentEvent::TargetReported {
-                profile,
-                is_draining,
-            },
-        );
+        side.step(4, AgentEvent::TargetReported(report("target-1", 1)));
         side.join(1_000, ENTRY, "entry-1", 1);
         side
     }
--- a/crates/mastknot_side/src/agent/agent_logs.rs
+++ b/crates/mastknot_side/src/agent/agent_logs.rs
@@ -43,6 +43,12 @@
         AgentDecision::Token { token, survivors } => {
             info!(target: DECISION, token, survivors; "fencing_token");
         }
+        AgentDecision::LateReport { target } => {
+            warn!(target: DECISION, target_id = target.0.as_ref(); "late_target_report");
+        }
+        AgentDecision::OtherLife { target } => {
+            info!(target: DECISION, target_id = target.0.as_ref(); "other_target_life");
+        }
         AgentDecision::LookFailed { in_a_row } => {
             warn!(target: DECISION, in_a_row; "look_failed");
         }
--- a/crates/mastknot_side/src/agent/agent_metrics.rs
+++ b/crates/mastknot_side/src/agent/agent_metrics.rs
@@ -83,6 +83,8 @@
         AgentDecision::Offered { .. } => "room_offered",
         AgentDecision::Condition { .. } => "target_condition",
         AgentDecision::Token { .. } => "fencing_token",
+        AgentDecision::LateReport { .. } => "late_target_report",
+        AgentDecision::OtherLife { .. } => "other_target_life",
         AgentDecision::LookFailed { .. } => "look_failed",
     }
 }
--- a/crates/mastknot_side/src/agent/agent_node.rs
+++ b/crates/mastknot_side/src/agent/agent_node.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use kameo::actor::{ActorRef, Spawn};
-use mastknot_core::agent::{AgentEvent, AgentSettings, TargetAgent};
+use mastknot_core::agent::{AgentEvent, AgentSettings, TargetAgent, TargetReport};
 use mastknot_core::job::{KnownEntry, TargetId, TargetProfile};
 use mastknot_runtime::Clock;
 use mastknot_wire::{LinkStats, log_link_traffic};
@@ -71,11 +71,8 @@
     }
 
     /// The target reported itself; returns when that is taken in.
-    pub async fn target_reported(&self, profile: TargetProfile, is_draining: bool) {
-        let event = AgentEvent::TargetReported {
-            profile,
-            is_draining,
-        };
+    pub async fn target_reported(&self, report: TargetReport) {
+        let event = AgentEvent::TargetReported(report);
         let _ = self.actor.ask(AgentInput(event)).await;
     }
 
--- a/crates/mastknot_virtual/src/jobs/targets.rs
+++ b/crates/mastknot_virtual/src/jobs/targets.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use mastknot_core::agent::{AgentEvent, LookFailure, OrderOutcome, TargetView};
+use mastknot_core::agent::{AgentEvent, LookFailure, OrderOutcome, TargetReport, TargetView};
 use mastknot_core::job::{Room, RunId, TargetId, TargetProfile};
 use rand::RngExt;
 
@@ -41,10 +41,11 @@
             },
             labels: Vec::new(),
         };
-        let event = AgentEvent::TargetReported {
+        let event = AgentEvent::TargetReported(TargetReport {
             profile,
             is_draining: false,
-        };
+            number: self.now,
+        });
         let life = self.sides[side].life;
         let event = Box::new(event);
         self.later(TARGET_DELAY, Act::SideInput { side, life, event });
