fix(entry): a silent watch of the entries is noticed within eight seconds

Cause: connections may go silent for good without a reset while new ones work. A watch that has nothing to say is silent too; one of 25 s, with the list read anew after two of them, left an entry without news of others for 50 s. Change: a watch of the entries waits 4 s (DIRECTORY_WATCH_WAIT, one place for the platform and the test). Test: an_entry_is_known_within_eight_seconds_though_the_watch_is_silent_for_good, fails with 25 s. Cost, worked out: 0.4 calls a second an entry.

--- a/crates/mastknot_runtime/src/shared_store/entry_directory.rs
+++ b/crates/mastknot_runtime/src/shared_store/entry_directory.rs
@@ -8,6 +8,11 @@
 use super::directory_view::DirectoryView;
 use super::{SharedLease, SharedStore, SharedStoreError};
 
+/// How long a watch of the entries usually waits. A connection may go silent for good, and a watch that has
+/// nothing to say is silent too: only the answer at its end tells them apart. The list is read anew after two
+/// such times, so an entry is missed for 8 s at most (50 s when a watch waited for 25 s), for 0.4 calls a second.
+pub const DIRECTORY_WATCH_WAIT: Duration = Duration::from_secs(4);
+
 /// What the directory of entries is set up with.
 #[derive(Clone, Debug)]
 pub struct DirectorySettings {
--- a/crates/mastknot_runtime/src/shared_store/mod.rs
+++ b/crates/mastknot_runtime/src/shared_store/mod.rs
@@ -8,7 +8,7 @@
 mod store_call_counts;
 
 pub use config_feed::{ConfigFeedSettings, feed_config};
-pub use entry_directory::{Directory, DirectorySettings, keep_directory};
+pub use entry_directory::{DIRECTORY_WATCH_WAIT, Directory, DirectorySettings, keep_directory};
 pub use shared_item::{SharedChanges, SharedCheck, SharedItem, SharedLease, SharedList};
 pub use shared_store_error::SharedStoreError;
 pub use store_call_counts::StoreCallCounts;
--- a/crates/mastknot_runtime/tests/directory.rs
+++ b/crates/mastknot_runtime/tests/directory.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use mastknot_runtime::{
-    Directory, DirectorySettings, SharedChanges, SharedCheck, SharedItem, SharedLease, SharedList,
-    SharedStore, SharedStoreError, keep_directory,
+    DIRECTORY_WATCH_WAIT, Directory, DirectorySettings, SharedChanges, SharedCheck, SharedItem,
+    SharedLease, SharedList, SharedStore, SharedStoreError, keep_directory,
 };
 use tokio::sync::watch;
 use tokio::time::sleep;
@@ -20,6 +20,8 @@
 #[derive(Default)]
 struct MemoryState {
     is_away: bool,
+    /// Watches say nothing any more, other calls are answered.
+    is_watch_silent: bool,
     revision: u64,
     items: BTreeMap<String, Vec<u8>>,
     changes: Vec<SharedItem>,
@@ -86,6 +88,9 @@
     ) -> Result<SharedChanges, SharedStoreError> {
         let mut waited = Duration::ZERO;
         loop {
+            if self.0.lock().unwrap().is_watch_silent {
+                std::future::pending::<()>().await;
+            }
             self.check()?;
             let changes = self.changes_after(after);
             if !changes.items.is_empty() || waited >= wait {
@@ -134,7 +139,7 @@
         prefix: PREFIX.to_owned(),
         own: None,
         lease_time: Duration::from_secs(6),
-        watch_wait: Duration::from_secs(25),
+        watch_wait: DIRECTORY_WATCH_WAIT,
         retry_pause: Duration::from_millis(150),
     };
     let (sender, directory) = watch::channel(Directory::new());
@@ -188,3 +193,16 @@
     assert_eq!(names_after(&directory, 1_000).await, ["a"]);
     assert!(names_after(&directory, 2_000).await.is_empty());
 }
+
+/// The connection of the watch went silent without a reset: for 50 s no entry that came was known.
+#[tokio::test(start_paused = true)]
+async fn an_entry_is_known_within_eight_seconds_though_the_watch_is_silent_for_good() {
+    let store = MemoryStore::default();
+    store.change("a", Some("1"));
+    let directory = follow(&store);
+    assert_eq!(names_after(&directory, 100).await, ["a"]);
+    store.0.lock().unwrap().is_watch_silent = true;
+    sleep(Duration::from_millis(100)).await;
+    store.change("b", Some("2"));
+    assert_eq!(names_after(&directory, 8_000).await, ["a", "b"]);
+}
