fix(side): a target that refused a connection is taken again

Cause: in a refused connection marked the life as over for good, so its next reports counted as late and its side stayed without a target. Change: only the answer of another life, or the target's own leaving, marks a life as over. Test: a_target_that_refused_a_connection_is_taken_again, fails before.

--- a/crates/mastknot_core/src/agent/orders.rs
+++ b/crates/mastknot_core/src/agent/orders.rs
@@ -344,7 +344,7 @@
             }
             OrderRefusal::OtherInstance => {
                 self.end_unstarted(now, id, NotRunCause::TargetUnavailable);
-                self.instance_over(now);
+                self.instance_replaced(now);
             }
         }
     }
--- a/crates/mastknot_core/src/agent/target_lives.rs
+++ b/crates/mastknot_core/src/agent/target_lives.rs
@@ -44,9 +44,14 @@
         self.ended.contains(target)
     }
 
-    /// A life is over.
-    pub(crate) fn end(&mut self, target: TargetId) {
+    /// No life is known any more; the next one counts its reports from the beginning.
+    pub(crate) fn forget_known(&mut self) {
         self.newest_number = 0;
+    }
+
+    /// A life is over, by its own word or that of its successor. A target that refuses connections for a
+    /// while may still be the same one.
+    pub(crate) fn end(&mut self, target: TargetId) {
         if self.has_ended(&target) {
             return;
         }
--- a/crates/mastknot_core/src/agent/views.rs
+++ b/crates/mastknot_core/src/agent/views.rs
@@ -120,7 +120,7 @@
         match result {
             Ok(view) => self.viewed(now, look.sent, view),
             Err(LookFailure::Fenced { clock_ms }) => self.take_token(now, clock_ms),
-            Err(LookFailure::OtherInstance) => self.instance_over(now),
+            Err(LookFailure::OtherInstance) => self.instance_replaced(now),
             Err(LookFailure::Refused) => {
                 self.instance_over(now);
                 self.link.failed_looks = ABSENT_AFTER;
@@ -297,11 +297,17 @@
         }
     }
 
-    /// The target's life is over: nothing of it runs any more.
-    pub(super) fn instance_over(&mut self, now: Moment) {
+    /// Another life has answered, or the known one has left: its late reports count for nothing.
+    pub(super) fn instance_replaced(&mut self, now: Moment) {
         if let Some(target) = self.target_id() {
             self.lives.end(target);
         }
+        self.instance_over(now);
+    }
+
+    /// The target's life is over: nothing of it runs any more.
+    pub(super) fn instance_over(&mut self, now: Moment) {
+        self.lives.forget_known();
         self.link.forget_instance();
         self.health = Default::default();
         self.pace = Default::default();
@@ -375,7 +381,7 @@
 
     pub(super) fn target_left(&mut self, now: Moment, target: &TargetId) {
         if self.target_id().as_ref() == Some(target) {
-            self.instance_over(now);
+            self.instance_replaced(now);
         }
     }
 
--- a/crates/mastknot_core/tests/target_lives.rs
+++ b/crates/mastknot_core/tests/target_lives.rs
@@ -102,6 +102,19 @@
     assert_eq!(target_name(&side), "target-2");
 }
 
+/// A target that refuses connections for a moment is no other one.
+#[test]
+fn a_target_that_refused_a_connection_is_taken_again() {
+    let mut side = Side::ready();
+    let effects = side.order(1_001, ENTRY, start(1, 1_000));
+    let number = look_number(&effects).expect("a look is under way");
+    let result = Err(LookFailure::Refused);
+    side.step(1_010, AgentEvent::Looked { number, result });
+    assert!(side.agent.target().is_none());
+    side.step(1_500, reported(report("target-1", 7)));
+    assert_eq!(target_name(&side), "target-1");
+}
+
 /// A target that had said that it leaves was given work again by a report from before.
 #[test]
 fn a_late_report_of_the_same_life_does_not_undo_a_newer_one() {
