--- a/crates/mastknot_entry/src/jobs/job_actor.rs
+++ b/crates/mastknot_entry/src/jobs/job_actor.rs
@@ -8,6 +8,7 @@
 use mastknot_core::scheduler::{
     CallerId, JobScheduler, SchedulerCounters, SchedulerEffect, SchedulerEvent, SessionId,
 };
+use mastknot_core::types::Moment;
 use mastknot_runtime::{Clock, Ticker, counters_text};
 use mastknot_wire::LinkSender;
 use tokio::sync::{mpsc, oneshot, watch};
@@ -209,7 +210,7 @@
         let now = self.parts.clock.monotonic();
         let effects = self.parts.core.step(now, event);
         for effect in effects {
-            self.carry_out(effect);
+            self.carry_out(now, effect);
         }
         self.ticker.set(self.parts.core.next_tick());
         let has_side = self.parts.core.has_ready_side();
@@ -218,7 +219,7 @@
             .send_if_modified(|held| std::mem::replace(held, has_side) != has_side);
     }
 
-    fn carry_out(&mut self, effect: SchedulerEffect) {
+    fn carry_out(&mut self, now: Moment, effect: SchedulerEffect) {
         match effect {
             SchedulerEffect::Send { session, order } => self.send(session, order),
             SchedulerEffect::Close { session } => {
@@ -233,7 +234,7 @@
                 let _ = self.parts.documents.send(document);
             }
             SchedulerEffect::Decided(decision) => {
-                self.metrics.note(&decision);
+                self.metrics.note(now, &decision);
                 log_decision(&decision);
             }
         }
--- a/crates/mastknot_entry/src/jobs/job_metrics.rs
+++ b/crates/mastknot_entry/src/jobs/job_metrics.rs
@@ -1,10 +1,14 @@
+use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
+use log::info;
 use mastknot_core::job::JobAnswer;
 use mastknot_core::scheduler::SchedulerDecision;
+use mastknot_core::types::Moment;
 use mastknot_runtime::{latency_histogram, registry_text};
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 
@@ -19,6 +23,7 @@
     job_seconds: Family<AnswerLabels, Histogram>,
     first_start_seconds: Histogram,
     room_wait_seconds: Histogram,
+    recovery_seconds: Gauge<f64, AtomicU64>,
 }
 
 impl JobMetrics {
@@ -42,15 +47,23 @@
             "From handing in to each start of a task",
             room_wait_seconds.clone(),
         );
+        let recovery_seconds = Gauge::default();
+        registry.register(
+            "mastknot_recovery_seconds",
+            "From the start of the process to its first job in time; 0 until then",
+            recovery_seconds.clone(),
+        );
         Self {
             registry,
             job_seconds,
             first_start_seconds,
             room_wait_seconds,
+            recovery_seconds,
         }
     }
 
-    pub(super) fn note(&self, decision: &SchedulerDecision) {
+    /// Takes in a decision of the moment `now`, which counts from the start of the process.
+    pub(super) fn note(&self, now: Moment, decision: &SchedulerDecision) {
         match decision {
             SchedulerDecision::Placed { waited_ms, .. } => {
                 self.room_wait_seconds.observe(seconds(*waited_ms));
@@ -59,8 +72,12 @@
                 answer,
                 after_ms,
                 first_start_ms,
+                in_time,
                 ..
             } => {
+                if *in_time && *answer == JobAnswer::Completed {
+                    self.note_recovery(now);
+                }
                 let answer = answer_name(answer);
                 let labels = AnswerLabels { answer };
                 self.job_seconds
@@ -74,6 +91,16 @@
         }
     }
 
+    fn note_recovery(&self, now: Moment) {
+        if self.recovery_seconds.get() > 0.0 {
+            return;
+        }
+        let time = now.since(Moment::default());
+        self.recovery_seconds.set(time.as_secs_f64());
+        let after_ms = time.as_millis() as u64;
+        info!(after_ms; "first job in time");
+    }
+
     pub(super) fn text(&self) -> String {
         registry_text(&self.registry)
     }
