fix(runtime): an accepted connection whose other end has gone silent ends

Cause: no keep-alive and no limit of unacknowledged bytes on accepted connections: one that a caller left silently while its answer was written kept its descriptor for as long as the kernel sends again (a quarter of an hour).

--- a/crates/mastknot_runtime/src/http/mod.rs
+++ b/crates/mastknot_runtime/src/http/mod.rs
@@ -1,9 +1,11 @@
 //! HTTP plumbing over `hyper`.
 
+mod accepted;
 mod body;
 mod client;
 mod server;
 
+pub use accepted::set_up_accepted;
 pub use body::{
     BodyError, ResponseBody, empty_response, json_response, read_body, stream_response,
     text_response,
--- a/crates/mastknot_runtime/src/http/server.rs
+++ b/crates/mastknot_runtime/src/http/server.rs
@@ -10,11 +10,12 @@
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto;
 use hyper_util::server::graceful::GracefulShutdown;
+use log::debug;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Semaphore, oneshot};
 use tokio::task::JoinHandle;
 
-use super::ResponseBody;
+use super::{ResponseBody, set_up_accepted};
 
 /// How long a connection may take to send the head of a request.
 const HEADER_LIMIT: Duration = Duration::from_secs(5);
@@ -141,7 +142,9 @@
     H: Fn(Request<Incoming>) -> F + Send + Sync + 'static,
     F: Future<Output = Response<ResponseBody>> + Send + 'static,
 {
-    let _ = stream.set_nodelay(true);
+    if let Err(error) = set_up_accepted(&stream) {
+        debug!(error:%; "accepted connection not set up");
+    }
     let watcher = graceful.watcher();
     async move {
         let service = service_fn(move |request| {
