--- a/crates/mastknot_core/tests/common/entry.rs
+++ b/crates/mastknot_core/tests/common/entry.rs
@@ -34,6 +34,7 @@
     }
 }
 
+#[derive(Clone)]
 pub struct Entry {
     pub scheduler: JobScheduler,
     number: u64,
