--- a/crates/mastknot_load/src/lib.rs
+++ b/crates/mastknot_load/src/lib.rs
@@ -1,4 +1,4 @@
-//! Bounded load, comparisons of policies, slopes and faults.
+//! Bounded load, comparisons of policies and faults.
 //!
 //! This crate has no feature flags.
 
@@ -9,8 +9,6 @@
 mod keys;
 mod overhead;
 mod process;
-mod scale;
-mod slopes;
 mod throughput;
 
 pub use bench::{
@@ -21,6 +19,4 @@
 pub use error::LoadError;
 pub use faults::{FaultAudit, FaultPhase, FaultsPlan, FaultsReport, run_faults};
 pub use overhead::{OverheadPlan, OverheadReport, measure_overhead};
-pub use scale::{ScaleArm, ScalePlan, ScalePoint, draw_scale, measure_scale};
-pub use slopes::{Line, Point, Slope, SlopeGroup, SlopesPlan, measure_slopes};
 pub use throughput::{ThroughputPlan, ThroughputReport, measure_throughput};
--- a/crates/mastknot_load/src/main.rs
+++ b/crates/mastknot_load/src/main.rs
@@ -6,9 +6,9 @@
 use bpaf::{OptionParser, Parser, construct, long};
 use mastknot_core::config::Profile;
 use mastknot_load::{
-    Arm, Baseline, BenchProfile, ComparePlan, FaultsPlan, LoadError, OverheadPlan, ScalePlan,
-    SlopeGroup, SlopesPlan, ThroughputPlan, compare, draw_scale, draw_trade, format_table,
-    measure_overhead, measure_scale, measure_slopes, measure_throughput, measure_trade, run_faults,
+    Arm, Baseline, BenchProfile, ComparePlan, FaultsPlan, LoadError, OverheadPlan, ThroughputPlan,
+    compare, draw_trade, format_table, measure_overhead, measure_throughput, measure_trade,
+    run_faults,
 };
 use serde::Serialize;
 
@@ -20,17 +20,12 @@
         plan: ComparePlan,
         json: bool,
     },
-    Slopes(SlopesPlan),
     Curve {
         profile: BenchProfile,
         seeds: Vec<u64>,
         out: PathBuf,
     },
     Faults(FaultsPlan),
-    Scale {
-        plan: ScalePlan,
-        out: Option<PathBuf>,
-    },
 }
 
 fn number<T>(name: &'static str, help: &'static str, fallback: T) -> impl Parser<T>
@@ -186,20 +181,6 @@
     .command("compare")
 }
 
-fn slopes() -> impl Parser<Command> {
-    let seconds = number("seconds", "How long each point is measured [10]", 10);
-    let groups = long("only")
-        .help("sides, tasks, ledger, entries or changes [all]")
-        .argument::<String>("GROUP")
-        .parse(|text| SlopeGroup::named(&text).ok_or(format!("{text:?} is no group")))
-        .fallback(SlopeGroup::ALL);
-    construct!(SlopesPlan { seconds, groups })
-        .map(Command::Slopes)
-        .to_options()
-        .descr("How each role's cost grows; starts entries and sides as processes")
-        .command("slopes")
-}
-
 fn curve() -> impl Parser<Command> {
     let profile = profile_option();
     let seeds = seeds_option();
@@ -229,35 +210,10 @@
     .command("faults")
 }
 
-fn scale() -> impl Parser<Command> {
-    let seconds = number("seconds", "Virtual seconds of each point [4]", 4);
-    let jobs_per_side = number("jobs-per-side", "Jobs for each side, a second [5]", 5.0);
-    let link_mbps = number("link-mbps", "Bandwidth of an entry's link [25]", 25);
-    let version_bytes = number(
-        "version-bytes",
-        "Length of a configuration [350000]",
-        350_000,
-    );
-    let plan = construct!(ScalePlan {
-        seconds,
-        jobs_per_side,
-        link_mbps,
-        version_bytes
-    });
-    let out = long("out")
-        .help("File to draw (SVG)")
-        .argument::<PathBuf>("FILE")
-        .optional();
-    construct!(Command::Scale { plan, out })
-        .to_options()
-        .descr("What grows with entries times sides, on the real cores in virtual time, as JSON")
-        .command("scale")
-}
-
 fn options() -> OptionParser<Command> {
     let (overhead, throughput, compare) = (overhead(), throughput(), compare_options());
-    let (slopes, faults, curve, scale) = (slopes(), faults(), curve(), scale());
-    construct!([overhead, throughput, compare, slopes, faults, curve, scale])
+    let (faults, curve) = (faults(), curve());
+    construct!([overhead, throughput, compare, faults, curve])
         .to_options()
         .version(env!("CARGO_PKG_VERSION"))
         .descr("Measure mastknot; every run is bounded in time and count and stays on loopback")
@@ -290,14 +246,6 @@
             draw_trade(&points, &title, &out)?;
             print(&points);
         }
-        Command::Scale { plan, out } => {
-            let points = measure_scale(&plan);
-            if let Some(file) = out {
-                draw_scale(&points, &file)?;
-            }
-            print(&points);
-        }
-        Command::Slopes(plan) => print(&measure_slopes(plan).await?),
         Command::Throughput(plan) => print(&measure_throughput(plan).await?),
     }
     Ok(())
--- a/crates/mastknot_load/src/process/managed.rs
+++ b/crates/mastknot_load/src/process/managed.rs
@@ -6,7 +6,6 @@
 use snafu::ResultExt;
 use tokio::time::{Instant, sleep};
 
-use super::Usage;
 use crate::error::{IoSnafu, LoadError};
 
 /// A signal that the tool sends to its own processes.
@@ -58,11 +57,6 @@
         Ok(Self { child })
     }
 
-    /// What it has used so far.
-    pub(crate) fn usage(&self) -> Usage {
-        Usage::of(self.child.id()).unwrap_or_default()
-    }
-
     /// Sends it a signal, by its id.
     pub(crate) fn signal(&self, signal: Signal) -> Result<(), LoadError> {
         let pid = self.child.id().to_string();
--- a/crates/mastknot_load/src/process/mod.rs
+++ b/crates/mastknot_load/src/process/mod.rs
@@ -6,13 +6,11 @@
 mod managed;
 mod settle;
 mod side_process;
-mod usage;
 
 pub(crate) use entry_process::EntryProcess;
 pub(crate) use managed::Signal;
 pub(crate) use settle::settle;
 pub(crate) use side_process::SideProcess;
-pub(crate) use usage::Usage;
 
 use std::net::{SocketAddr, TcpListener};
 
