fix(runtime): calls to a target or the store do not wait behind connections that have gone silent

Cause: kept connections that go silent without a reset are found one call at a time: an order (20 to 50 ms), then looks with 100 ms between them, while the target counts as absent; five of them cost about 0.7 s (worked out). Change: after two calls in a row without an answer the kept connections are given up; one alone may be the peer's fault, and connections to workers are priced. Test: peer_client.rs: of five silent connections the third call is answered, with the plain client the sixth.

--- a/crates/mastknot_runtime/src/http/mod.rs
+++ b/crates/mastknot_runtime/src/http/mod.rs
@@ -3,6 +3,7 @@
 mod accepted;
 mod body;
 mod client;
+mod peer_client;
 mod server;
 
 pub use accepted::set_up_accepted;
@@ -11,4 +12,5 @@
     text_response,
 };
 pub use client::{HttpClient, plain_client};
+pub use peer_client::PeerClient;
 pub use server::{HttpServer, RequestParts};
