--- a/crates/mastknot_core/src/scheduler/scheduler_counters.rs
+++ b/crates/mastknot_core/src/scheduler/scheduler_counters.rs
@@ -35,6 +35,8 @@
     pub starts_turned_away: u64,
     /// Links to sides that were given up for silence.
     pub links_silent: u64,
+    /// Links whose sides greeted and never answered the welcome.
+    pub greetings_unanswered: u64,
     /// Links to sides that were put on standby.
     pub links_stood_by: u64,
     /// Links to sides that were taken from standby.
--- a/crates/mastknot_core/src/scheduler/scheduler_decision.rs
+++ b/crates/mastknot_core/src/scheduler/scheduler_decision.rs
@@ -2,7 +2,7 @@
 
 use super::{CallerId, Outlook};
 use crate::job::{EndOfRun, JobAnswer, JobId, RunId};
-use crate::types::NodeName;
+use crate::types::{Incarnation, NodeName};
 
 /// One decision of an entry, for the logs.
 #[derive(Clone, Debug, PartialEq)]
@@ -96,6 +96,13 @@
         /// Runs of this entry that are over.
         lost: usize,
     },
+    /// A side greeted and did not answer the welcome: the greeting may be one of a life that is over.
+    GreetingUnanswered {
+        /// The side.
+        side: NodeName,
+        /// The life that greeted.
+        incarnation: Incarnation,
+    },
     /// A side's link is gone.
     SideLeft {
         /// The side.
--- a/crates/mastknot_core/src/scheduler/side_links.rs
+++ b/crates/mastknot_core/src/scheduler/side_links.rs
@@ -107,13 +107,21 @@
     /// Closes links whose greeting came from nobody who lives.
     pub(super) fn end_unanswered_greetings(&mut self, now: Moment) {
         let limit = self.settings.terms.silence;
-        while let Some((session, greeting)) = self.greetings.first() {
-            if now.since(greeting.at) < limit {
+        let is_over = |greeting: &Greeting| now.since(greeting.at) >= limit;
+        while self
+            .greetings
+            .first()
+            .is_some_and(|(_, oldest)| is_over(oldest))
+        {
+            let Some((session, greeting)) = self.greetings.shift_remove_index(0) else {
                 return;
-            }
-            let session = *session;
-            self.greetings.shift_remove(&session);
+            };
+            self.counters.greetings_unanswered += 1;
             self.effects.push(SchedulerEffect::Close { session });
+            self.decided(SchedulerDecision::GreetingUnanswered {
+                side: greeting.hello.side,
+                incarnation: greeting.hello.incarnation,
+            });
         }
     }
 
--- a/crates/mastknot_core/tests/link_lives.rs
+++ b/crates/mastknot_core/tests/link_lives.rs
@@ -58,6 +58,10 @@
     let effects = entry.submit(11, 1, job(1, 2, 100), 2_000);
     let to: Vec<u64> = starts(&effects).iter().map(|(side, _)| *side).collect();
     assert_eq!(to, [0, 0]);
+    // Nobody has answered on it for as long as a link may be silent.
+    let effects = entry.status(360, 0, 16_000, 2, None, Vec::new());
+    assert!(is_closed(&effects, DEAD), "{effects:?}");
+    assert_eq!(entry.scheduler.counters().greetings_unanswered, 1);
 }
 
 #[test]
--- a/crates/mastknot_entry/src/jobs/job_logs.rs
+++ b/crates/mastknot_entry/src/jobs/job_logs.rs
@@ -54,6 +54,9 @@
         SchedulerDecision::SideJoined { side, kept, lost } => {
             info!(target: DECISION, side:%, kept, lost; "side_joined");
         }
+        SchedulerDecision::GreetingUnanswered { side, incarnation } => {
+            info!(target: DECISION, side:%, incarnation = incarnation.0; "greeting_unanswered");
+        }
         SchedulerDecision::SideLeft {
             side,
             was_silent,
