--- a/crates/mastknot_runtime/src/lib.rs
+++ b/crates/mastknot_runtime/src/lib.rs
@@ -32,7 +32,7 @@
     SharedCheck, SharedItem, SharedLease, SharedList, SharedStore, SharedStoreError,
     StoreCallCounts, feed_config, keep_directory,
 };
-pub use signals::{Signals, StopSignal};
+pub use signals::{ReloadSignals, Signals, StopSignal};
 pub use store::{
     StoreCalls, StoreClient, StoreError, StoreReason, StoreWatch, StoredValue, SwapResult,
     WatchEvent, WatchItem,
--- a/crates/mastknot_runtime/src/signals/mod.rs
+++ b/crates/mastknot_runtime/src/signals/mod.rs
@@ -1,4 +1,4 @@
-//! Stop signals.
+//! Stop and reload signals.
 
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
@@ -35,3 +35,24 @@
         }
     }
 }
+
+/// The signal that asks for the settings to be read again (SIGHUP), caught from the moment this exists: one that comes
+/// before ends the process.
+#[derive(Debug)]
+pub struct ReloadSignals {
+    hangup: Signal,
+}
+
+impl ReloadSignals {
+    /// Catches SIGHUP.
+    pub fn catch() -> std::io::Result<Self> {
+        Ok(Self {
+            hangup: signal(SignalKind::hangup())?,
+        })
+    }
+
+    /// The next one.
+    pub async fn next(&mut self) {
+        let _ = self.hangup.recv().await;
+    }
+}
