--- a/crates/mastknot_core/src/job/lease_terms.rs
+++ b/crates/mastknot_core/src/job/lease_terms.rs
@@ -15,10 +15,8 @@
 /// `run_over_after`. See `docs/design/platform.md` for the sum.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct LeaseTerms {
-    /// Between two reports of a side on one link.
+    /// Between two heartbeats of one link.
     pub heartbeat: Duration,
-    /// Between two heartbeats of an entry on one link if no report of the side calls for one before.
-    pub entry_heartbeat: Duration,
     /// After this long without a newer report heard by an entry, its side stops its runs.
     pub entry_lease: Duration,
     /// For how long a target runs on after the last confirmed report.
@@ -37,7 +35,6 @@
     fn default() -> Self {
         Self {
             heartbeat: Duration::from_millis(80),
-            entry_heartbeat: Duration::from_millis(160),
             entry_lease: Duration::from_millis(350),
             target_hold: Duration::from_millis(500),
             run_over_after: Duration::from_millis(600),
--- a/crates/mastknot_core/src/scheduler/side_links.rs
+++ b/crates/mastknot_core/src/scheduler/side_links.rs
@@ -17,10 +17,6 @@
 /// The most that is added to the score of a side that its entry does not prefer, in thousandths of a
 /// full target.
 const MAX_DISTANCE: u32 = 400;
-/// A report is answered with a heartbeat, which confirms it, unless the last one was sent within this time. With the
-/// 80 ms between reports a lease lags its confirmation by 150 ms at most and has 200 ms left; heartbeats on a timer of
-/// their own lagged by 165 ms and were 3.4 percent more messages a run (55 x 240, virtual time).
-const CONFIRM_SPACING: Duration = Duration::from_millis(70);
 /// Heartbeats that would be due within this time are sent together: each wake-up has its cost.
 const SENT_TOGETHER: Duration = Duration::from_millis(25);
 
@@ -203,9 +199,7 @@
         if let Some(view) = self.sides.get_mut(name) {
             is_first = !view.has_reported();
             view.take_status(&status);
-            let is_confirmed = now.since(view.beat_sent) < CONFIRM_SPACING;
-            let is_due = view.duty == LinkDuty::Active && !is_confirmed;
-            if status.is_offer || is_due {
+            if status.is_offer {
                 view.owes_heartbeat = true;
                 self.sides_due = Some(now);
             }
--- a/crates/mastknot_core/src/scheduler/side_view.rs
+++ b/crates/mastknot_core/src/scheduler/side_view.rs
@@ -124,7 +124,7 @@
     pub(crate) fn heartbeat(&self, terms: &LeaseTerms) -> Duration {
         match self.duty {
             LinkDuty::Standby => terms.standby_heartbeat,
-            LinkDuty::Active | LinkDuty::Waking => terms.entry_heartbeat,
+            LinkDuty::Active | LinkDuty::Waking => terms.heartbeat,
         }
     }
 
