revert(scheduler): links made in a crowd are not limited

Played again with the entries' logs: after all processes were killed at 34 s, from 37 s to the end 240 to 310 of 1,250 jobs a second are refused, while starts turned away fall to 15 to 48 a second (1,000 before): room stands empty that no entry sees. 43 of 240 targets had gone at 4 s; a link to a target that is gone is always idle, but is given up only if its rank is the highest, while good ones are given up in their idle moments: links in use fill with useless ones, and no other is woken as enough seem to be in use (read from the code; a test in virtual time, a fifth of the targets crashed and all entries killed, showed 0.056 refused with and without the limit, so it is not kept). Change: back to the state before.

--- a/crates/mastknot_core/src/scheduler/active_links.rs
+++ b/crates/mastknot_core/src/scheduler/active_links.rs
@@ -71,25 +71,6 @@
         names.iter().for_each(|name| self.wake(now, name));
     }
 
-    /// After a new link: one link on which nothing runs, that of the highest rank, goes on standby if more are used
-    /// than ever are.
-    ///
-    /// While tasks wait no other link is given up, so after a start of all processes in a crowd each of 55 entries
-    /// used all of its 240 links for five seconds: 38 of 100 starts were turned away, 16 with this limit (virtual
-    /// time, `large_fleet.rs`).
-    pub(super) fn limit_new_links(&mut self) {
-        let is_used = |side: &SideView| side.duty == LinkDuty::Active && side.has_reported();
-        let used = self.sides.iter().filter(|(_, side)| is_used(side));
-        if used.clone().count() <= self.usual_links() * MOST_FACTOR {
-            return;
-        }
-        let idle = used.filter(|(_, side)| side.is_idle());
-        let last = idle.max_by_key(|(_, side)| side.rank);
-        if let Some(name) = last.map(|(name, _)| name.clone()) {
-            self.stand_by(&name);
-        }
-    }
-
     /// How many links are used as a rule.
     fn usual_links(&self) -> usize {
         let settings = &self.settings;
@@ -181,7 +162,8 @@
         let Some(side) = self.sides.get_mut(name) else {
             return;
         };
-        let Some(session) = side.session.filter(|_| side.is_idle()) else {
+        let is_idle = side.runs.is_empty() && side.is_resumed && side.target.is_some();
+        let Some(session) = side.session.filter(|_| is_idle) else {
             return;
         };
         side.duty = LinkDuty::Standby;
--- a/crates/mastknot_core/src/scheduler/side_links.rs
+++ b/crates/mastknot_core/src/scheduler/side_links.rs
@@ -195,9 +195,7 @@
         if let Some(version) = status.config_version {
             self.fetch.note_offer(session, version);
         }
-        let mut is_first = false;
         if let Some(view) = self.sides.get_mut(name) {
-            is_first = !view.has_reported();
             view.take_status(&status);
             if status.is_offer {
                 view.owes_heartbeat = true;
@@ -218,9 +216,6 @@
         for ended in &status.ended {
             self.run_over(now, name, ended);
         }
-        if is_first {
-            self.limit_new_links();
-        }
     }
 
     pub(super) fn link_down(&mut self, now: Moment, session: SessionId) {
--- a/crates/mastknot_core/src/scheduler/side_view.rs
+++ b/crates/mastknot_core/src/scheduler/side_view.rs
@@ -168,17 +168,6 @@
         self.free() != Room::default()
     }
 
-    /// Whether it has said on this link how its target stands.
-    pub(crate) fn has_reported(&self) -> bool {
-        self.session.is_some() && self.heard_number > 0
-    }
-
-    /// Whether it is linked, its target is known, and nothing that this entry has ordered may run there.
-    pub(crate) fn is_idle(&self) -> bool {
-        let is_linked = self.session.is_some() && self.is_resumed;
-        is_linked && self.target.is_some() && self.runs.is_empty()
-    }
-
     /// Whether work may be given to it now.
     pub(crate) fn takes_work(&self) -> bool {
         let is_linked = self.session.is_some() && self.is_resumed && self.duty == LinkDuty::Active;
