feat(agent): the end of a run tells a crash of its target from a lost lease or side

Cause of the change: a run that ended with its target was logged as Lost, as were those whose lease lapsed or whose side was gone, so that logs could not tell the hypotheses of the incident apart. Sides log target_crashed with what ran there and for how long, entries log how many targets crashed under a task; a target that said that it leaves has not crashed, a silent one only once another life is there. No decision changes: the scheduler treats both ends alike.

Tests: target_crashes.rs. Two assertions that named the end of a dead target's runs as Lost name Crashed now, as strictly.

--- a/crates/mastknot_core/src/agent/agent_decision.rs
+++ b/crates/mastknot_core/src/agent/agent_decision.rs
@@ -1,4 +1,4 @@
-use crate::job::{EndOfRun, NotRunCause, RunId, TargetCondition, TargetId};
+use crate::job::{EndOfRun, NotRunCause, RunId, TargetCondition, TargetCrash, TargetId};
 use crate::types::NodeName;
 
 /// Why a side ended an entry's lease.
@@ -79,6 +79,13 @@
         /// Its condition.
         condition: TargetCondition,
     },
+    /// A life of the target has ended by a crash.
+    TargetCrashed {
+        /// The life, and what ran there.
+        crash: TargetCrash,
+        /// Whether the target had been silent before, in place of refusing connections.
+        was_silent: bool,
+    },
     /// A new fencing token is in use.
     Token {
         /// The token.
--- a/crates/mastknot_core/src/agent/looks.rs
+++ b/crates/mastknot_core/src/agent/looks.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use super::target_agent::{LookInFlight, TargetAgent};
+use super::target_reports::EndOfLife;
 use super::{AgentDecision, AgentEffect, LookFailure, Run, RunPhase, TargetView};
 use crate::types::Moment;
 
@@ -106,9 +107,9 @@
         match result {
             Ok(view) => self.viewed(now, look.sent, view),
             Err(LookFailure::Fenced { clock_ms }) => self.take_token(now, clock_ms),
-            Err(LookFailure::OtherInstance) => self.instance_replaced(now),
+            Err(LookFailure::OtherInstance) => self.instance_replaced(now, EndOfLife::Crashed),
             Err(LookFailure::Refused) => {
-                self.instance_over(now);
+                self.instance_over(now, EndOfLife::Crashed);
                 self.link.failed_looks = ABSENT_AFTER;
                 self.look_not_before = now + REFUSED_LOOK_PAUSE;
             }
--- a/crates/mastknot_core/src/agent/order_answers.rs
+++ b/crates/mastknot_core/src/agent/order_answers.rs
@@ -1,6 +1,7 @@
 //! What the target's answers to orders and stops change, and the end of a run.
 
 use super::target_agent::TargetAgent;
+use super::target_reports::EndOfLife;
 use super::{AgentDecision, OrderOutcome, OrderRefusal, Run, RunPhase};
 use crate::job::{EndOfRun, EndedRun, NotRunCause, RunId};
 use crate::types::Moment;
@@ -71,7 +72,7 @@
             }
             OrderRefusal::OtherInstance => {
                 self.end_unstarted(now, id, NotRunCause::TargetUnavailable);
-                self.instance_replaced(now);
+                self.instance_replaced(now, EndOfLife::Crashed);
             }
         }
     }
--- a/crates/mastknot_core/src/agent/target_condition.rs
+++ b/crates/mastknot_core/src/agent/target_condition.rs
@@ -2,6 +2,7 @@
 
 use super::looks::ABSENT_AFTER;
 use super::target_agent::TargetAgent;
+use super::target_reports::EndOfLife;
 use super::{AgentDecision, Run, RunPhase};
 use crate::job::TargetCondition;
 use crate::types::Moment;
@@ -14,7 +15,7 @@
         // Nothing can run twice any more: a life that is silent gives way.
         let is_silent = self.link.failed_looks >= ABSENT_AFTER && self.runs.is_empty();
         if is_silent && self.lives.other.is_some() {
-            self.instance_over(now);
+            self.instance_over(now, EndOfLife::Crashed);
         }
         let condition = self.condition_now(now);
         if condition == self.condition {
--- a/crates/mastknot_core/src/agent/target_lives.rs
+++ b/crates/mastknot_core/src/agent/target_lives.rs
@@ -1,6 +1,6 @@
 use std::collections::VecDeque;
 
-use crate::job::{TargetId, TargetProfile};
+use crate::job::{CrashedRun, TargetId, TargetProfile};
 use crate::types::Moment;
 
 /// So many ended lives of a target are remembered: a report of one of them may still be under way, behind a cut that lasts
@@ -34,6 +34,8 @@
 pub(crate) struct TargetLives {
     ended: VecDeque<TargetId>,
     pub(crate) other: Option<OtherLife>,
+    /// What ran on the known life when it fell silent and is over since. Silence alone is no crash.
+    pub(crate) lost_in_silence: Vec<CrashedRun>,
     /// The highest number of a report of the known life.
     newest_number: u64,
 }
@@ -47,6 +49,7 @@
     /// No life is known any more; the next one counts its reports from the beginning.
     pub(crate) fn forget_known(&mut self) {
         self.newest_number = 0;
+        self.lost_in_silence.clear();
     }
 
     /// A life is over, by its own word or that of its successor. A target that refuses connections for a
@@ -85,6 +88,7 @@
     /// The known life has answered a look that was sent at this time: what another life reported before came
     /// late. A life that is really the next one reports again.
     pub(crate) fn known_answered(&mut self, sent: Moment) -> Option<TargetId> {
+        self.lost_in_silence.clear();
         let late = self.other.take_if(|other| sent >= other.since)?;
         Some(late.report.profile.id)
     }
--- a/crates/mastknot_core/src/agent/target_reports.rs
+++ b/crates/mastknot_core/src/agent/target_reports.rs
@@ -2,20 +2,38 @@
 
 use super::target_agent::TargetAgent;
 use super::{AgentDecision, AgentEffect, TargetReport};
-use crate::job::{EndOfRun, TargetId, TargetProfile};
+use crate::job::{CrashedRun, EndOfRun, TargetCrash, TargetId, TargetProfile};
 use crate::types::Moment;
 
+/// How a life of the target has ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum EndOfLife {
+    /// Without a word before.
+    Crashed,
+    /// As the target had said.
+    Left,
+}
+
 impl TargetAgent {
     /// Another life has answered, or the known one has left: its late reports count for nothing.
-    pub(super) fn instance_replaced(&mut self, now: Moment) {
+    pub(super) fn instance_replaced(&mut self, now: Moment, end: EndOfLife) {
         if let Some(target) = self.target_id() {
             self.lives.end(target);
         }
-        self.instance_over(now);
+        self.instance_over(now, end);
     }
 
     /// The target's life is over: nothing of it runs any more.
-    pub(super) fn instance_over(&mut self, now: Moment) {
+    pub(super) fn instance_over(&mut self, now: Moment, end: EndOfLife) {
+        // A target that is leaving ends without a further word if its last one is lost.
+        let has_crashed = end == EndOfLife::Crashed && !self.link.is_draining;
+        let end_of_runs = match has_crashed {
+            true => {
+                self.note_crash(now);
+                EndOfRun::Crashed
+            }
+            false => EndOfRun::Lost,
+        };
         self.lives.forget_known();
         self.link.forget_instance();
         self.health = Default::default();
@@ -23,16 +41,47 @@
         self.look = None;
         self.look_not_before = now;
         self.survivors.clear();
-        self.lose_all(now);
+        self.end_all(now, end_of_runs);
         self.take_other_life(now);
     }
 
+    /// Everything that ran on a target that has been silent until its hold ran out is over. Whether it has crashed
+    /// shows when it is heard again.
     pub(super) fn lose_all(&mut self, now: Moment) {
+        let silent_since = self.link.heard;
+        let lost = self.crashed_runs(silent_since);
+        self.lives.lost_in_silence.extend(lost);
+        self.end_all(now, EndOfRun::Lost);
+    }
+
+    fn end_all(&mut self, now: Moment, end: EndOfRun) {
         for run in self.runs.ids() {
-            self.end_run(now, run, EndOfRun::Lost);
+            self.end_run(now, run, end);
         }
     }
 
+    /// Notes what ran on a target that has crashed.
+    fn note_crash(&mut self, now: Moment) {
+        let Some(target) = self.target_id() else {
+            return;
+        };
+        let mut runs = std::mem::take(&mut self.lives.lost_in_silence);
+        let was_silent = !runs.is_empty();
+        runs.extend(self.crashed_runs(now));
+        runs.sort_by_key(|crashed| crashed.ran_ms);
+        let crash = TargetCrash { target, runs };
+        self.decided(AgentDecision::TargetCrashed { crash, was_silent });
+    }
+
+    /// What runs now and how long it had run when the target crashed.
+    fn crashed_runs(&self, crashed: Moment) -> Vec<CrashedRun> {
+        let runs = self.runs.iter().map(|(run, state)| CrashedRun {
+            run: *run,
+            ran_ms: crashed.since(state.since).as_millis() as u32,
+        });
+        runs.collect()
+    }
+
     /// Takes what a target says of itself. A report of another life than the known one ends that only if
     /// the target, asked at once for the known life, says so.
     pub(super) fn target_reported(&mut self, now: Moment, report: TargetReport) {
@@ -90,7 +139,7 @@
 
     pub(super) fn target_left(&mut self, now: Moment, target: &TargetId) {
         if self.target_id().as_ref() == Some(target) {
-            self.instance_replaced(now);
+            self.instance_replaced(now, EndOfLife::Left);
         }
     }
 }
--- a/crates/mastknot_core/src/job/end_of_run.rs
+++ b/crates/mastknot_core/src/job/end_of_run.rs
@@ -32,8 +32,10 @@
     Stopped,
     /// It was stopped because it made no progress.
     Stalled,
-    /// Its target or the lease on it was lost.
+    /// Its side is gone, the lease on it has lapsed, or its target does not list it any more.
     Lost,
+    /// Its target has crashed.
+    Crashed,
     /// It never began.
     NotRun(NotRunCause),
 }
--- a/crates/mastknot_core/src/job/mod.rs
+++ b/crates/mastknot_core/src/job/mod.rs
@@ -16,6 +16,7 @@
 mod run_id;
 mod side_report;
 mod step_spec;
+mod target_crash;
 mod target_profile;
 mod waiting_need;
 
@@ -35,5 +36,6 @@
 pub use run_id::{RunId, TaskRef};
 pub use side_report::{EndedRun, SideHello, SideReport, SideStatus, TargetCondition};
 pub use step_spec::StepSpec;
+pub use target_crash::{CrashedRun, TargetCrash};
 pub use target_profile::{TargetId, TargetProfile};
 pub use waiting_need::WaitingNeed;
--- a/crates/mastknot_core/src/scheduler/active_job.rs
+++ b/crates/mastknot_core/src/scheduler/active_job.rs
@@ -26,6 +26,8 @@
     pub(crate) state: TaskState,
     /// Failures that count.
     pub(crate) failures: u32,
+    /// Targets that have crashed under it.
+    pub(crate) crashes: u32,
     /// Sides where it failed or stood still.
     pub(crate) avoided: Vec<NodeName>,
     /// How long the run took that did its work.
@@ -72,6 +74,7 @@
                     },
                     state: TaskState::Blocked,
                     failures: 0,
+                    crashes: 0,
                     avoided: Vec::new(),
                     ran: Duration::ZERO,
                 });
--- a/crates/mastknot_core/src/scheduler/job_ends.rs
+++ b/crates/mastknot_core/src/scheduler/job_ends.rs
@@ -46,6 +46,10 @@
                 task.avoid(side);
             }
             EndOfRun::Stalled | EndOfRun::Lost => task.avoid(side),
+            EndOfRun::Crashed => {
+                task.crashes += 1;
+                task.avoid(side);
+            }
             EndOfRun::NotRun(NotRunCause::OldAttempt) => job.attempts.raise(),
             EndOfRun::Stopped | EndOfRun::NotRun(_) => {}
         }
@@ -53,6 +57,7 @@
             job.not_begun += 1;
         }
         let failures = job.tasks[place].failures;
+        let crashes = job.tasks[place].crashes;
         let has_failed = failures >= job.policy.max_attempts.max(1);
         if ended.end != EndOfRun::Done && !job.is_over {
             let request_id = Arc::clone(&job.request.request_id);
@@ -62,6 +67,7 @@
                 side: side.clone(),
                 end: ended.end,
                 failures,
+                crashes,
             });
         }
         if has_failed {
@@ -148,6 +154,7 @@
             EndOfRun::Stopped => &mut self.counters.runs_stopped,
             EndOfRun::Stalled => &mut self.counters.runs_stalled,
             EndOfRun::Lost => &mut self.counters.runs_lost,
+            EndOfRun::Crashed => &mut self.counters.runs_crashed,
             EndOfRun::NotRun(NotRunCause::NoRoom) => &mut self.counters.starts_without_room,
             EndOfRun::NotRun(_) => &mut self.counters.starts_turned_away,
         };
--- a/crates/mastknot_core/src/scheduler/scheduler_counters.rs
+++ b/crates/mastknot_core/src/scheduler/scheduler_counters.rs
@@ -25,8 +25,10 @@
     pub runs_failed: u64,
     /// Runs that stood still and were stopped.
     pub runs_stalled: u64,
-    /// Runs lost with their target or its lease.
+    /// Runs lost with their side or their lease.
     pub runs_lost: u64,
+    /// Runs whose target crashed.
+    pub runs_crashed: u64,
     /// Runs stopped.
     pub runs_stopped: u64,
     /// Starts turned away for want of room.
--- a/crates/mastknot_core/src/scheduler/scheduler_decision.rs
+++ b/crates/mastknot_core/src/scheduler/scheduler_decision.rs
@@ -60,6 +60,8 @@
         end: EndOfRun,
         /// Failures of the task that count.
         failures: u32,
+        /// How many targets have crashed under the task.
+        crashes: u32,
     },
     /// A job was answered.
     Answered {
--- a/crates/mastknot_core/tests/agent.rs
+++ b/crates/mastknot_core/tests/agent.rs
@@ -166,7 +166,7 @@
     let number = look_number(&effects).expect("a look");
     let result = Err(LookFailure::Refused);
     let effects = dead.step(1_010, AgentEvent::Looked { number, result });
-    assert_eq!(ends(&effects), [EndOfRun::Lost]);
+    assert_eq!(ends(&effects), [EndOfRun::Crashed]);
 
     let mut silent = Side::ready();
     let mut effects = silent.order(1_001, ENTRY, start(1, 1_000));
--- /dev/null
+++ b/crates/mastknot_core/tests/target_crashes.rs
@@ -0,0 +1,148 @@
+//! How a side tells a crash of its target from other ways in which runs are lost.
+
+mod common;
+
+use common::side::*;
+use mastknot_core::agent::{
+    AgentDecision, AgentEffect, AgentEvent, LookFailure, OrderOutcome, TargetReport,
+};
+use mastknot_core::job::{CrashedRun, EndOfRun, TargetCrash, TargetId};
+
+fn crashes(effects: &[AgentEffect]) -> Vec<TargetCrash> {
+    let crashes = effects.iter().filter_map(|effect| match effect {
+        AgentEffect::Decided(AgentDecision::TargetCrashed { crash, .. }) => Some(crash.clone()),
+        _ => None,
+    });
+    crashes.collect()
+}
+
+fn crashed(job: u64, ran_ms: u32) -> CrashedRun {
+    CrashedRun {
+        run: run(job),
+        ran_ms,
+    }
+}
+
+fn looked(side: &mut Side, ms: u64, number: u64, failure: LookFailure) -> Vec<AgentEffect> {
+    let result = Err(failure);
+    side.step(ms, AgentEvent::Looked { number, result })
+}
+
+/// The target answers that it has started a job's run.
+fn started(side: &mut Side, ms: u64, job: u64) {
+    let clock_ms = ms + 1_000;
+    let outcome = OrderOutcome::Started { clock_ms };
+    let run = run(job);
+    side.step(ms, AgentEvent::OrderAnswered { run, outcome });
+}
+
+/// A side whose target runs two jobs, and the number of the look that is under way.
+fn busy() -> (Side, u64) {
+    let mut side = Side::ready();
+    let effects = side.order(1_001, ENTRY, start(1, 1_000));
+    started(&mut side, 1_002, 1);
+    side.order(1_031, ENTRY, start(2, 1_000));
+    started(&mut side, 1_032, 2);
+    let number = look_number(&effects).expect("a look is under way");
+    (side, number)
+}
+
+#[test]
+fn a_crash_names_what_ran_there_the_youngest_first() {
+    let (mut side, number) = busy();
+    let effects = looked(&mut side, 1_041, number, LookFailure::Refused);
+    assert_eq!(ends(&effects), [EndOfRun::Crashed, EndOfRun::Crashed]);
+    let crash = TargetCrash {
+        target: TargetId("target-1".into()),
+        runs: vec![crashed(2, 10), crashed(1, 40)],
+    };
+    assert_eq!(crashes(&effects), [crash]);
+}
+
+#[test]
+fn a_life_in_place_of_the_known_one_says_that_it_crashed() {
+    let (mut side, number) = busy();
+    let effects = looked(&mut side, 1_041, number, LookFailure::OtherInstance);
+    assert_eq!(ends(&effects), [EndOfRun::Crashed, EndOfRun::Crashed]);
+    assert_eq!(crashes(&effects).len(), 1);
+}
+
+#[test]
+fn a_target_that_leaves_has_not_crashed() {
+    let (mut side, _) = busy();
+    let target = TargetId("target-1".into());
+    let effects = side.step(1_041, AgentEvent::TargetLeft { target });
+    assert_eq!(ends(&effects), [EndOfRun::Lost, EndOfRun::Lost]);
+    assert_eq!(crashes(&effects), []);
+
+    let (mut draining, number) = busy();
+    let leaving = TargetReport {
+        is_draining: true,
+        ..report("target-1", 2)
+    };
+    draining.step(1_035, AgentEvent::TargetReported(leaving));
+    let effects = looked(&mut draining, 1_041, number, LookFailure::Refused);
+    assert_eq!(ends(&effects), [EndOfRun::Lost, EndOfRun::Lost]);
+    assert_eq!(crashes(&effects), [], "its last word was lost");
+}
+
+/// Lets the target be silent until its hold has run out; returns when that is, and the last effects.
+fn fall_silent(side: &mut Side, first_look: u64) -> (u64, Vec<AgentEffect>) {
+    let mut number = Some(first_look);
+    for ms in (1_101..2_500).step_by(10) {
+        let effects = match number.take() {
+            Some(number) => looked(side, ms, number, LookFailure::Silent),
+            None => side.step(ms, AgentEvent::Tick),
+        };
+        number = look_number(&effects);
+        if ends(&effects).contains(&EndOfRun::Lost) || side.agent.runs().is_empty() {
+            return (ms, effects);
+        }
+    }
+    panic!("the hold never ran out");
+}
+
+#[test]
+fn silence_is_no_crash_until_another_life_is_there() {
+    let (mut side, number) = busy();
+    let (ms, effects) = fall_silent(&mut side, number);
+    assert_eq!(crashes(&effects), []);
+    let mut effects = side.step(ms + 1, AgentEvent::TargetReported(report("target-2", 1)));
+    let mut seen = crashes(&effects);
+    for later in 1..100 {
+        if !seen.is_empty() {
+            break;
+        }
+        effects = match look_number(&effects) {
+            Some(number) => looked(&mut side, ms + later * 10, number, LookFailure::Refused),
+            None => side.step(ms + later * 10, AgentEvent::Tick),
+        };
+        seen = crashes(&effects);
+    }
+    let crash = seen.first().expect("the known life is over");
+    assert_eq!(crash.target, TargetId("target-1".into()));
+    // It was last heard at 1,032 ms: nothing says how long the runs went on after that.
+    assert_eq!(crash.runs, [crashed(2, 1), crashed(1, 31)]);
+}
+
+#[test]
+fn a_target_that_was_silent_for_a_while_has_not_crashed() {
+    let (mut side, number) = busy();
+    let (ms, effects) = fall_silent(&mut side, number);
+    let mut effects = effects;
+    for later in 1..100 {
+        if look_number(&effects).is_some() {
+            break;
+        }
+        effects = side.step(ms + later * 10, AgentEvent::Tick);
+    }
+    let effects = side.answer_look(ms + 1_000, &effects, ms + 2_000, Vec::new());
+    assert_eq!(crashes(&effects), []);
+    side.join(ms + 1_001, ENTRY, "entry-1", 1);
+    let effects = side.order(ms + 1_002, ENTRY, start(3, 1_000));
+    let number = look_number(&effects).expect("a look is under way");
+    let effects = looked(&mut side, ms + 1_012, number, LookFailure::Refused);
+    let jobs = crashes(&effects).into_iter().flat_map(|crash| crash.runs);
+    let jobs: Vec<u64> = jobs.map(|row| row.run.task.job.0).collect();
+    assert_eq!(jobs, [3], "what the silence cost is no part of the crash");
+}
--- a/crates/mastknot_core/tests/target_lives.rs
+++ b/crates/mastknot_core/tests/target_lives.rs
@@ -82,7 +82,7 @@
     side.order(1_001, ENTRY, start(1, 1_000));
     let effects = side.step(1_010, reported(report("target-2", 1)));
     let effects = over(&mut side, 1_011, &effects);
-    assert_eq!(ends(&effects), [EndOfRun::Lost]);
+    assert_eq!(ends(&effects), [EndOfRun::Crashed]);
     assert_eq!(target_name(&side), "target-2");
 }
 
--- a/crates/mastknot_entry/src/jobs/job_logs.rs
+++ b/crates/mastknot_entry/src/jobs/job_logs.rs
@@ -37,7 +37,9 @@
             side,
             end,
             failures,
-        } => info!(target: DECISION, run:%, request_id:%, side:%, end:?, failures; "run_ended"),
+            crashes,
+        } => info!(target: DECISION, run:%, request_id:%, side:%, end:?, failures, crashes;
+            "run_ended"),
         SchedulerDecision::Answered {
             job,
             request_id,
--- a/crates/mastknot_side/src/agent/agent_logs.rs
+++ b/crates/mastknot_side/src/agent/agent_logs.rs
@@ -2,10 +2,12 @@
 
 use log::{debug, info, warn};
 use mastknot_core::agent::AgentDecision;
-use mastknot_core::job::EndOfRun;
+use mastknot_core::job::{CrashedRun, EndOfRun, TargetCrash};
 
 /// The target of decision lines, by which they can be filtered.
 const DECISION: &str = "decision";
+/// The most runs that one line names: the youngest tell what may have brought a crash about.
+const MAX_NAMED: usize = 8;
 
 pub(super) fn log_decision(decision: &AgentDecision) {
     match decision {
@@ -40,6 +42,7 @@
             let target_id = target.as_ref().map_or("", |target| &target.0);
             info!(target: DECISION, target_id, condition:?; "target_condition");
         }
+        AgentDecision::TargetCrashed { crash, was_silent } => log_crash(crash, *was_silent),
         AgentDecision::Token { token, survivors } => {
             info!(target: DECISION, token, survivors; "fencing_token");
         }
@@ -61,3 +64,13 @@
         info!(target: DECISION, run:%, end:?, ran_ms; "run_ended");
     }
 }
+
+fn log_crash(crash: &TargetCrash, was_silent: bool) {
+    let target_id = crash.target.0.as_ref();
+    let runs = crash.runs.len();
+    let name = |crashed: &CrashedRun| format!("{} after {} ms", crashed.run, crashed.ran_ms);
+    let youngest = crash.runs.iter().take(MAX_NAMED).map(name);
+    let youngest = youngest.collect::<Vec<_>>().join(", ");
+    warn!(target: DECISION, target_id, was_silent, runs, youngest = youngest.as_str();
+        "target_crashed");
+}
--- a/crates/mastknot_side/src/agent/agent_metrics.rs
+++ b/crates/mastknot_side/src/agent/agent_metrics.rs
@@ -68,6 +68,7 @@
         EndOfRun::Stopped => "stopped",
         EndOfRun::Stalled => "stalled",
         EndOfRun::Lost => "lost",
+        EndOfRun::Crashed => "crashed",
         EndOfRun::NotRun(_) => "not_run",
     }
 }
@@ -82,6 +83,7 @@
         AgentDecision::EntryJoined { .. } => "entry_joined",
         AgentDecision::Offered { .. } => "room_offered",
         AgentDecision::Condition { .. } => "target_condition",
+        AgentDecision::TargetCrashed { .. } => "target_crashed",
         AgentDecision::Token { .. } => "fencing_token",
         AgentDecision::LateReport { .. } => "late_target_report",
         AgentDecision::OtherLife { .. } => "other_target_life",
