--- a/crates/mastknot_virtual/src/jobs/act.rs
+++ b/crates/mastknot_virtual/src/jobs/act.rs
@@ -73,6 +73,12 @@
     TargetDue {
         side: usize,
     },
+    /// A run brings its target down.
+    CrashUnder {
+        side: usize,
+        lives: u64,
+        run: RunId,
+    },
     Beat {
         side: usize,
         lives: u64,
--- a/crates/mastknot_virtual/src/jobs/job_audit.rs
+++ b/crates/mastknot_virtual/src/jobs/job_audit.rs
@@ -27,6 +27,15 @@
         /// The task.
         task: TaskRef,
     },
+    /// A task that crashes its targets was started again and again.
+    StartedInSpiteOfCrashes {
+        /// The task.
+        task: TaskRef,
+        /// How many targets had crashed under it.
+        crashes: u32,
+        /// When, in microseconds.
+        at: u64,
+    },
     /// A task ran although all callers of its job had left long before.
     RanAfterLeave {
         /// The job.
@@ -43,6 +52,11 @@
     },
 }
 
+/// After so many crashes of targets under a task it must be known what it does.
+const CRASHES_THAT_TELL: u32 = 3;
+/// So many starts may still follow: they were on their way, or their entry was out of touch.
+const STARTS_AFTER: u32 = 2;
+
 /// What a caller was told.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct GivenAnswer {
@@ -59,6 +73,9 @@
     started: BTreeSet<JobId>,
     done: BTreeSet<TaskRef>,
     answers: BTreeMap<JobId, Vec<GivenAnswer>>,
+    /// Targets that tasks have crashed, and the starts after that could be known.
+    crashes: BTreeMap<TaskRef, u32>,
+    starts_in_spite: BTreeMap<TaskRef, u32>,
     /// When the callers of jobs had left, in microseconds.
     left: BTreeMap<JobId, u64>,
     violations: Vec<JobViolation>,
@@ -77,6 +94,29 @@
             });
         }
         running.push((target, run));
+        self.check_crashes(at, run.task);
+    }
+
+    fn check_crashes(&mut self, at: u64, task: TaskRef) {
+        let crashes = self.crashes.get(&task).copied().unwrap_or_default();
+        if crashes < CRASHES_THAT_TELL {
+            return;
+        }
+        let starts = self.starts_in_spite.entry(task).or_default();
+        *starts += 1;
+        if *starts > STARTS_AFTER {
+            self.violations
+                .push(JobViolation::StartedInSpiteOfCrashes { task, crashes, at });
+        }
+    }
+
+    pub(super) fn crashed_under(&mut self, task: TaskRef) {
+        *self.crashes.entry(task).or_default() += 1;
+    }
+
+    /// How many targets a task has crashed.
+    pub fn crashed_targets(&self, task: TaskRef) -> u32 {
+        self.crashes.get(&task).copied().unwrap_or_default()
     }
 
     pub(super) fn callers_left(&mut self, job: JobId, at: u64) {
--- a/crates/mastknot_virtual/src/jobs/job_system.rs
+++ b/crates/mastknot_virtual/src/jobs/job_system.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use mastknot_core::agent::{AgentEvent, DialBackoff, SessionId, TargetAgent};
-use mastknot_core::job::{ConfigDocument, JobId, JobRequest, Room, StepSpec};
+use mastknot_core::job::{ConfigDocument, JobId, JobRequest, Room, StepSpec, TaskRef};
 use mastknot_core::scheduler::{CallerId, JobScheduler, SchedulerEvent};
 use mastknot_core::types::Moment;
 use rand::SeedableRng;
@@ -12,7 +12,7 @@
 use super::act::Act;
 use super::thin_links::{LinkRecord, Pipe};
 use super::virtual_target::{TargetMood, VirtualLook, VirtualTarget};
-use super::{JobAudit, JobFaultPlan, StepRecord};
+use super::{JobAudit, JobFaultPlan, StepRecord, TaskCrash};
 use crate::system::Schedule;
 
 /// One way between an entry and a side, in microseconds.
@@ -141,6 +141,8 @@
     pub(super) jobs: BTreeMap<JobId, VirtualJob>,
     /// Jobs of which a caller got no answer.
     pub(super) unanswered: BTreeSet<JobId>,
+    /// Tasks that crash the targets on which they start.
+    pub(super) crashing: HashMap<TaskRef, TaskCrash>,
     pub(super) audit: JobAudit,
     /// Each entry's ways out and in.
     pub(super) pipes: Vec<(Pipe, Pipe)>,
@@ -176,6 +178,7 @@
             callers: BTreeMap::new(),
             jobs: BTreeMap::new(),
             unanswered: BTreeSet::new(),
+            crashing: HashMap::new(),
             audit: JobAudit::default(),
             pipes: vec![Default::default(); settings.entries],
             throttled_until: vec![0; settings.entries],
@@ -351,6 +354,7 @@
             Act::TargetLook { side, open, wait } => self.target_look(side, *open, wait),
             Act::LookWaited { side, number } => self.answer_look(side, Some(number)),
             Act::TargetDue { side } => self.advance_target(side),
+            Act::CrashUnder { side, lives, run } => self.crash_under(side, lives, run),
             Act::Beat { side, lives } => self.beat(side, lives),
             Act::Submit { job, entry } => self.submit_now(job, entry),
             Act::Leave { job } => self.callers_leave(job),
--- a/crates/mastknot_virtual/src/jobs/mod.rs
+++ b/crates/mastknot_virtual/src/jobs/mod.rs
@@ -2,6 +2,7 @@
 
 mod act;
 mod callers;
+mod crashing_tasks;
 mod job_audit;
 mod job_faults;
 mod job_system;
@@ -15,6 +16,7 @@
 mod thin_links;
 mod virtual_target;
 
+pub use crashing_tasks::TaskCrash;
 pub use job_audit::{GivenAnswer, JobAudit, JobViolation};
 pub use job_faults::{Direction, JobFault, JobFaultPlan};
 pub use job_system::{JobSystem, JobSystemSettings};
--- a/crates/mastknot_virtual/src/jobs/targets.rs
+++ b/crates/mastknot_virtual/src/jobs/targets.rs
@@ -177,6 +177,7 @@
         let (outcome, has_begun) = target.start(now, start);
         if has_begun {
             self.audit.run_started(now, side, start.run);
+            self.plan_crash_under(side, start.run);
         }
         self.wake_target(side);
         if is_answered {
