fix(agent): entries and the memory for restarts hear when a target's room changes within its life

Cause, by reading: a side told what its target has only when the target's life was new. Entries rated it by the room of its start, and a side that started again took that room from the store or an entry until the target's next word, a beat later.

Change: each change of what the target says of itself is told and remembered.

--- a/crates/mastknot_core/src/agent/owners.rs
+++ b/crates/mastknot_core/src/agent/owners.rs
@@ -3,7 +3,7 @@
 
 use super::SessionId;
 use super::offers::RoomOffer;
-use crate::job::{EndedRun, LeaseTerms, Room, TargetCondition, TargetId, WaitingNeed};
+use crate::job::{EndedRun, LeaseTerms, Room, TargetCondition, TargetProfile, WaitingNeed};
 use crate::types::{Incarnation, Moment, NodeName};
 
 /// One life of an entry.
@@ -32,7 +32,7 @@
 pub(crate) struct Told {
     pub(crate) free: Room,
     pub(crate) condition: TargetCondition,
-    pub(crate) target: Option<TargetId>,
+    pub(crate) target: Option<TargetProfile>,
 }
 
 /// The most report numbers that are kept to time a lease.
--- a/crates/mastknot_core/src/agent/reporting.rs
+++ b/crates/mastknot_core/src/agent/reporting.rs
@@ -50,7 +50,7 @@
         is_new_offer
             || self.is_notable(&owner.told.free, &self.shown_to(owner, shared))
             || owner.told.condition != self.condition
-            || owner.told.target != self.target_id()
+            || owner.told.target != self.link.profile
     }
 
     /// Whether a change of the room is worth a report before the next heartbeat.
@@ -64,10 +64,9 @@
         let known = self.owners.get(key);
         let free = known.map(|owner| self.shown_to(owner, shared));
         let free = free.unwrap_or_default();
-        let target = self.target_id();
+        let target = self.link.profile.clone();
         let condition = self.condition;
         let pace_percent = self.pace.percent();
-        let profile = self.link.profile.clone();
         let config_version = self.config_version();
         let Some(owner) = self.owners.get_mut(key) else {
             return;
@@ -76,7 +75,7 @@
             return;
         };
         let is_standby = owner.duty == Duty::Standby;
-        let is_new_target = owner.told.target != target;
+        let news_of_target = target.clone().filter(|_| owner.told.target != target);
         owner.told = Told {
             free,
             condition,
@@ -94,7 +93,7 @@
             condition,
             is_standby,
             pace_percent,
-            target: profile.filter(|_| is_new_target),
+            target: news_of_target,
             ended: std::mem::take(&mut owner.ended),
             config_version: owner.news_of_version(config_version),
         };
--- a/crates/mastknot_core/src/agent/target_reports.rs
+++ b/crates/mastknot_core/src/agent/target_reports.rs
@@ -138,8 +138,9 @@
         if self.link.profile.is_none() || self.link.failed_looks > 0 {
             self.look_not_before = now;
         }
-        let is_news = self.link.profile.as_ref().map(|known| &known.id) != Some(&profile.id)
-            || !self.link.has_reported;
+        // Room shrinks and grows within one life: what remembers the target is told each time.
+        let is_known = self.link.profile.as_ref() == Some(&profile);
+        let is_news = !is_known || !self.link.has_reported;
         self.link.has_reported = true;
         if is_news {
             let profile = profile.clone();
