--- a/crates/mastknot_runtime/src/lib.rs
+++ b/crates/mastknot_runtime/src/lib.rs
@@ -13,7 +13,7 @@
 mod store;
 mod ticker;
 
-pub use clock::Clock;
+pub use clock::{Clock, suspended_so_far};
 pub use error::{NodeError, node_context};
 pub use http::{
     BodyError, HttpServer, ResponseBody, empty_response, json_response, plain_client, read_body,
--- a/crates/mastknot_runtime/src/metrics/loop_delay.rs
+++ b/crates/mastknot_runtime/src/metrics/loop_delay.rs
@@ -1,11 +1,13 @@
 use std::time::Duration;
 
 use log::warn;
+use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 use tokio::time::{Instant, sleep};
 
 use super::latency_histogram;
+use crate::clock::suspended_so_far;
 
 /// Between two measurements: ten wake-ups a second cost little beside an entry's heartbeats.
 const INTERVAL: Duration = Duration::from_millis(100);
@@ -17,6 +19,7 @@
 #[derive(Clone, Debug)]
 pub struct LoopDelay {
     seconds: Histogram,
+    suspensions: Counter,
 }
 
 impl LoopDelay {
@@ -24,6 +27,7 @@
     pub fn start() -> Self {
         let delay = Self {
             seconds: latency_histogram(),
+            suspensions: Counter::default(),
         };
         tokio::spawn(delay.clone().measure());
         delay
@@ -33,9 +37,12 @@
     pub fn register(&self, registry: &mut Registry) {
         let help = "How late timers go off";
         registry.register("mastknot_loop_delay_seconds", help, self.seconds.clone());
+        let help = "How often the VM was suspended";
+        registry.register("mastknot_suspensions", help, self.suspensions.clone());
     }
 
     async fn measure(self) {
+        let mut suspended = suspended_so_far();
         loop {
             let due = Instant::now() + INTERVAL;
             sleep(INTERVAL).await;
@@ -44,6 +51,13 @@
             if late > NOTABLE {
                 warn!(late_ms = late.as_millis() as u64; "loop held up");
             }
+            let suspended_now = suspended_so_far();
+            let asleep = suspended_now.saturating_sub(suspended);
+            if asleep > NOTABLE {
+                self.suspensions.inc();
+                warn!(asleep_ms = asleep.as_millis() as u64; "woke from a suspension");
+            }
+            suspended = suspended_now;
         }
     }
 }
