test(virtual): VMs that are suspended, and the clock that would not notice

The fault matrix and 100 random histories of suspended entries and sides keep all promises with the clock that counts the time of a suspension; the same histories with a clock that stands still break some, so that the audit sees it.

--- a/crates/mastknot_virtual/src/jobs/job_faults.rs
+++ b/crates/mastknot_virtual/src/jobs/job_faults.rs
@@ -30,6 +30,20 @@
         /// For how long.
         time: Duration,
     },
+    /// An entry's VM is suspended: as a freeze, but a steady clock stands still meanwhile.
+    SuspendEntry {
+        /// The entry.
+        entry: usize,
+        /// For how long.
+        time: Duration,
+    },
+    /// A side's VM is suspended; its target runs on.
+    SuspendSide {
+        /// The side.
+        side: usize,
+        /// For how long.
+        time: Duration,
+    },
     /// A side is killed and starts again; its target runs on.
     KillSide {
         /// The side.
--- a/crates/mastknot_virtual/src/jobs/job_system.rs
+++ b/crates/mastknot_virtual/src/jobs/job_system.rs
@@ -53,6 +53,8 @@
     pub(super) core: Option<C>,
     pub(super) life: u64,
     pub(super) frozen_until: u64,
+    /// For how long its VM has been suspended in this life.
+    pub(super) asleep: u64,
     /// Links that this process holds open.
     pub(super) open: HashSet<SessionId>,
     pub(super) tick_at: Option<u64>,
@@ -64,11 +66,19 @@
             core: None,
             life: 0,
             frozen_until: 0,
+            asleep: 0,
             open: HashSet::new(),
             tick_at: None,
         }
     }
 
+    /// Its VM is suspended from now on, or for longer than it was to be.
+    pub(super) fn fall_asleep(&mut self, now: u64, time: Duration) {
+        let until = now + time.as_micros() as u64;
+        self.asleep += until.saturating_sub(self.frozen_until.max(now));
+        self.frozen_until = self.frozen_until.max(until);
+    }
+
     /// Whether a tick that comes now is the one that the core asked for last: earlier plans are void.
     pub(super) fn takes_tick(&mut self, now: u64) -> bool {
         self.tick_at.take_if(|at| *at <= now).is_some()
@@ -141,6 +151,8 @@
     pub(super) jobs: BTreeMap<JobId, VirtualJob>,
     /// Jobs of which a caller got no answer.
     pub(super) unanswered: BTreeSet<JobId>,
+    /// Whether the processes read a clock that stands still while their VM is suspended.
+    pub(super) has_steady_clocks: bool,
     /// Tasks that every target runs as if it were in this mood.
     pub(super) task_moods: HashMap<TaskRef, TargetMood>,
     /// Tasks that crash the targets on which they start.
@@ -180,6 +192,7 @@
             callers: BTreeMap::new(),
             jobs: BTreeMap::new(),
             unanswered: BTreeSet::new(),
+            has_steady_clocks: false,
             task_moods: HashMap::new(),
             crashing: HashMap::new(),
             audit: JobAudit::default(),
@@ -262,8 +275,22 @@
         self.now = until;
     }
 
-    pub(super) fn moment(&self) -> Moment {
-        Moment::from_micros(self.now)
+    /// Lets the processes read a clock that stands still while their VM is suspended: what they must not do.
+    pub fn use_steady_clocks(&mut self) {
+        self.has_steady_clocks = true;
+    }
+
+    /// What the clock of a process shows that was asleep for this long.
+    pub(super) fn moment(&self, asleep: u64) -> Moment {
+        Moment::from_micros(self.now - self.clock_lag(asleep))
+    }
+
+    /// By how much the clock of a process is behind that was asleep for this long.
+    pub(super) fn clock_lag(&self, asleep: u64) -> u64 {
+        match self.has_steady_clocks {
+            true => asleep,
+            false => 0,
+        }
     }
 
     pub(super) fn later(&mut self, delay: u64, act: Act) {
--- a/crates/mastknot_virtual/src/jobs/processes.rs
+++ b/crates/mastknot_virtual/src/jobs/processes.rs
@@ -31,6 +31,7 @@
         node.open.clear();
         node.tick_at = None;
         node.frozen_until = 0;
+        node.asleep = 0;
         let known = self.known_entries();
         self.step_entry(entry, SchedulerEvent::Entries(known));
         self.read_store(entry);
@@ -55,6 +56,7 @@
         node.open.clear();
         node.tick_at = None;
         node.frozen_until = 0;
+        node.asleep = 0;
         let order = DialOrder::new(&name.as_str().into(), &self.known_entries());
         for entry in order.at_once {
             self.first_dial(entry_place(&entry), side, LINK_DELAY);
@@ -73,7 +75,8 @@
     }
 
     pub(super) fn step_entry(&mut self, entry: usize, event: SchedulerEvent) {
-        let now = self.moment();
+        let asleep = self.entries[entry].asleep;
+        let now = self.moment(asleep);
         let Some(core) = &mut self.entries[entry].core else {
             return;
         };
@@ -85,14 +88,15 @@
             self.entry_effect(entry, effect);
         }
         let life = self.entries[entry].life;
-        if let Some(at) = self.wake(next, self.entries[entry].tick_at) {
+        if let Some(at) = self.wake(next, asleep, self.entries[entry].tick_at) {
             self.entries[entry].tick_at = Some(at);
             self.schedule.add(at, Act::TickEntry { entry, life });
         }
     }
 
     pub(super) fn step_side(&mut self, side: usize, event: AgentEvent) {
-        let now = self.moment();
+        let asleep = self.sides[side].asleep;
+        let now = self.moment(asleep);
         let Some(core) = &mut self.sides[side].core else {
             return;
         };
@@ -104,15 +108,21 @@
             self.side_effect(side, effect);
         }
         let life = self.sides[side].life;
-        if let Some(at) = self.wake(next, self.sides[side].tick_at) {
+        if let Some(at) = self.wake(next, asleep, self.sides[side].tick_at) {
             self.sides[side].tick_at = Some(at);
             self.schedule.add(at, Act::TickSide { side, life });
         }
     }
 
     /// When to wake a core, unless it is woken before.
-    pub(super) fn wake(&self, next: Option<Moment>, planned: Option<u64>) -> Option<u64> {
-        let at = next?.as_micros().max(self.now + 100);
+    pub(super) fn wake(
+        &self,
+        next: Option<Moment>,
+        asleep: u64,
+        planned: Option<u64>,
+    ) -> Option<u64> {
+        let at = next?.as_micros() + self.clock_lag(asleep);
+        let at = at.max(self.now + 100);
         planned.is_none_or(|planned| at < planned).then_some(at)
     }
 
--- a/crates/mastknot_virtual/src/jobs/strikes.rs
+++ b/crates/mastknot_virtual/src/jobs/strikes.rs
@@ -15,13 +15,15 @@
                 self.later(down.as_micros() as u64, Act::StartEntry { entry });
             }
             JobFault::FreezeEntry { entry, time } => {
-                let until = self.now + time.as_micros() as u64;
-                self.entries[entry].frozen_until = until;
-                let disturbed = self
-                    .callers
-                    .values_mut()
-                    .filter(|caller| caller.entry == entry);
-                disturbed.for_each(|caller| caller.was_disturbed = true);
+                self.entries[entry].frozen_until = self.now + time.as_micros() as u64;
+                self.disturb_callers(entry);
+            }
+            JobFault::SuspendEntry { entry, time } => {
+                self.entries[entry].fall_asleep(self.now, time);
+                self.disturb_callers(entry);
+            }
+            JobFault::SuspendSide { side, time } => {
+                self.sides[side].fall_asleep(self.now, time);
             }
             JobFault::KillSide { side, down } => {
                 self.kill_side(side);
@@ -67,6 +69,15 @@
         }
     }
 
+    /// An entry stands still: its callers may miss their answers.
+    fn disturb_callers(&mut self, entry: usize) {
+        let disturbed = self
+            .callers
+            .values_mut()
+            .filter(|caller| caller.entry == entry);
+        disturbed.for_each(|caller| caller.was_disturbed = true);
+    }
+
     pub(super) fn kill_entry(&mut self, entry: usize) {
         let node = &mut self.entries[entry];
         node.core = None;
--- a/crates/mastknot_virtual/tests/job_faults.rs
+++ b/crates/mastknot_virtual/tests/job_faults.rs
@@ -113,6 +113,27 @@
                 time: millis(360),
             },
         ),
+        (
+            "entry suspended",
+            JobFault::SuspendEntry {
+                entry: 0,
+                time: millis(2_500),
+            },
+        ),
+        (
+            "side suspended",
+            JobFault::SuspendSide {
+                side: 0,
+                time: millis(2_500),
+            },
+        ),
+        (
+            "side suspended for about a lease",
+            JobFault::SuspendSide {
+                side: 0,
+                time: millis(400),
+            },
+        ),
         (
             "side killed",
             JobFault::KillSide {
@@ -330,6 +351,53 @@
     );
 }
 
+/// Entries and sides whose VMs are suspended, in turn and both at once.
+fn play_suspensions(seed: u64, has_steady_clocks: bool) -> JobSystem {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut system = system(seed);
+    if has_steady_clocks {
+        system.use_steady_clocks();
+    }
+    load(&mut system, 200, 4_600);
+    for _ in 0..6 {
+        let at = millis(rng.random_range(300..4_500));
+        let time = millis(rng.random_range(200..3_000));
+        let entry = rng.random_range(0..ENTRIES);
+        let side = rng.random_range(0..SIDES);
+        let faults = [
+            JobFault::SuspendEntry { entry, time },
+            JobFault::SuspendSide { side, time },
+        ];
+        let first = rng.random_range(0..2);
+        let both = rng.random_bool(0.3);
+        for fault in faults.into_iter().skip(first).take(1 + usize::from(both)) {
+            system.plan(JobFaultPlan { at, fault });
+        }
+    }
+    system.run_until(millis(20_000));
+    system
+}
+
+const SUSPENSIONS: u64 = 100;
+
+#[test]
+fn suspended_machines_break_nothing() {
+    for seed in 0..SUSPENSIONS {
+        let system = play_suspensions(seed, false);
+        assert_kept(&system, &format!("seed {seed}"));
+    }
+}
+
+/// Processes that read a clock that stands still take leases for young that are long over.
+#[test]
+fn steady_clocks_would_break_promises_on_suspended_machines() {
+    let broken = (0..SUSPENSIONS).filter(|seed| {
+        let system = play_suspensions(*seed, true);
+        !system.violations().is_empty()
+    });
+    assert!(broken.count() > 0, "the audit does not see it");
+}
+
 fn random_fault(rng: &mut StdRng) -> JobFault {
     let entry = rng.random_range(0..ENTRIES);
     let side = rng.random_range(0..SIDES);
