refactor(runtime): leases and times between processes go by one clock

The list of entries read tokio's clock past Clock, and so did the pauses after short links; a suspension was no time for them. Tests that play with tokio's clock say so.

--- a/crates/mastknot_runtime/src/clock/mod.rs
+++ b/crates/mastknot_runtime/src/clock/mod.rs
@@ -32,6 +32,10 @@
     }
 
     /// Starts a clock to which `suspended` tells how long the VM has been suspended so far.
+    #[expect(
+        clippy::disallowed_methods,
+        reason = "it is the clock that all others read"
+    )]
     pub fn with_suspension(suspended: fn() -> Duration) -> Self {
         let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
         Self {
--- a/crates/mastknot_runtime/src/metrics/loop_delay.rs
+++ b/crates/mastknot_runtime/src/metrics/loop_delay.rs
@@ -41,6 +41,10 @@
         registry.register("mastknot_suspensions", help, self.suspensions.clone());
     }
 
+    #[expect(
+        clippy::disallowed_methods,
+        reason = "it measures timers, by the clock that they go by"
+    )]
     async fn measure(self) {
         let mut suspended = suspended_so_far();
         loop {
--- a/crates/mastknot_runtime/src/shared_store/config_feed.rs
+++ b/crates/mastknot_runtime/src/shared_store/config_feed.rs
@@ -65,6 +65,10 @@
 
 impl<S: SharedStore> Feed<S> {
     /// Reads the value if it has changed; returns whether the store answered.
+    #[expect(
+        clippy::disallowed_methods,
+        reason = "how long a call took, for the log"
+    )]
     async fn check(&mut self) -> bool {
         let asked = Instant::now();
         let result = self.store.check(&self.settings.key, self.known).await;
@@ -81,6 +85,10 @@
     }
 
     /// Waits for a change; returns whether the store answered.
+    #[expect(
+        clippy::disallowed_methods,
+        reason = "how long a call took, for the log"
+    )]
     async fn watch(&mut self) -> bool {
         if self.watched == 0 {
             return false;
--- a/crates/mastknot_runtime/src/shared_store/directory_view.rs
+++ b/crates/mastknot_runtime/src/shared_store/directory_view.rs
@@ -1,7 +1,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use tokio::time::Instant;
+use mastknot_core::types::Moment;
 
 use super::{Directory, SharedItem};
 
@@ -14,9 +14,9 @@
 pub(super) struct DirectoryView {
     entries: Directory,
     /// Entries that went missing around the store's return, and when they count as gone.
-    missing: BTreeMap<String, Instant>,
+    missing: BTreeMap<String, Moment>,
     is_away: bool,
-    returned: Option<Instant>,
+    returned: Option<Moment>,
 }
 
 impl DirectoryView {
@@ -31,14 +31,14 @@
     }
 
     /// A call to the store had a result.
-    pub(super) fn note_success(&mut self, now: Instant) {
+    pub(super) fn note_success(&mut self, now: Moment) {
         if std::mem::take(&mut self.is_away) {
             self.returned = Some(now);
         }
     }
 
     /// Takes the whole list as the store has it.
-    pub(super) fn replace(&mut self, now: Instant, listed: Directory) {
+    pub(super) fn replace(&mut self, now: Moment, listed: Directory) {
         let known: Vec<String> = self.entries.keys().cloned().collect();
         for name in known {
             if !listed.contains_key(&name) {
@@ -51,7 +51,7 @@
     }
 
     /// Takes one change.
-    pub(super) fn apply(&mut self, now: Instant, prefix: &str, item: SharedItem) {
+    pub(super) fn apply(&mut self, now: Moment, prefix: &str, item: SharedItem) {
         let Some(name) = item.key.strip_prefix(prefix) else {
             return;
         };
@@ -63,12 +63,12 @@
     }
 
     /// When the next missing entry counts as gone.
-    pub(super) fn next_expiry(&self) -> Option<Instant> {
+    pub(super) fn next_expiry(&self) -> Option<Moment> {
         self.missing.values().min().copied()
     }
 
     /// Forgets the missing entries whose time has passed.
-    pub(super) fn expire(&mut self, now: Instant) {
+    pub(super) fn expire(&mut self, now: Moment) {
         let entries = &mut self.entries;
         self.missing.retain(|name, gone| {
             let is_gone = *gone <= now;
@@ -84,7 +84,7 @@
         self.entries.insert(name, value);
     }
 
-    fn remove(&mut self, now: Instant, name: &str) {
+    fn remove(&mut self, now: Moment, name: &str) {
         let grace_ends = self.returned.map(|returned| returned + RELIST_GRACE);
         match grace_ends.filter(|ends| *ends > now) {
             Some(ends) if self.entries.contains_key(name) => {
--- a/crates/mastknot_runtime/src/shared_store/entry_directory.rs
+++ b/crates/mastknot_runtime/src/shared_store/entry_directory.rs
@@ -3,10 +3,11 @@
 
 use log::{info, warn};
 use tokio::sync::watch;
-use tokio::time::{Instant, sleep, sleep_until};
+use tokio::time::{sleep, sleep_until};
 
 use super::directory_view::DirectoryView;
 use super::{SharedLease, SharedStore, SharedStoreError};
+use crate::Clock;
 
 /// How long a watch of the entries usually waits. A connection may go silent for good, and a watch that has
 /// nothing to say is silent too: only the answer at its end tells them apart. The list is read anew after two
@@ -26,6 +27,8 @@
     pub watch_wait: Duration,
     /// After a failed call.
     pub retry_pause: Duration,
+    /// The process's clock.
+    pub clock: Clock,
 }
 
 /// The listed entries: their names and values.
@@ -106,7 +109,7 @@
             sleep(settings.retry_pause).await;
             continue;
         };
-        let now = Instant::now();
+        let now = settings.clock.monotonic();
         view.note_success(now);
         let mut listed = DirectoryView::default();
         for item in list.items {
@@ -126,20 +129,21 @@
     mut after: u64,
 ) {
     // A watch that has been quiet for long is no proof: list again now and then.
-    let ends = Instant::now() + settings.watch_wait * 2;
-    while Instant::now() < ends {
+    let clock = &settings.clock;
+    let ends = clock.monotonic() + settings.watch_wait * 2;
+    while clock.monotonic() < ends {
         let watched = store.watch(&settings.prefix, after, settings.watch_wait);
         let next_change = async {
             match view.next_expiry() {
-                Some(at) => sleep_until(at.min(ends)).await,
-                None => sleep_until(ends).await,
+                Some(at) => sleep_until(clock.instant(at.min(ends))).await,
+                None => sleep_until(clock.instant(ends)).await,
             }
         };
         let result = tokio::select! {
             result = watched => Some(result),
             () = next_change => None,
         };
-        let now = Instant::now();
+        let now = settings.clock.monotonic();
         match result {
             Some(Ok(changes)) => {
                 view.note_success(now);
@@ -155,7 +159,7 @@
             }
             None => {}
         }
-        view.expire(Instant::now());
+        view.expire(clock.monotonic());
         publish(directory, view.entries());
     }
 }
--- a/crates/mastknot_runtime/tests/config_feed.rs
+++ b/crates/mastknot_runtime/tests/config_feed.rs
@@ -1,5 +1,10 @@
 //! The configuration's feed over a store that hears late, goes away and loses answers, in paused time.
 
+#![allow(
+    clippy::disallowed_methods,
+    reason = "a test reads the clock that it plays with"
+)]
+
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
--- a/crates/mastknot_runtime/tests/directory.rs
+++ b/crates/mastknot_runtime/tests/directory.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use mastknot_runtime::{
-    DIRECTORY_WATCH_WAIT, Directory, DirectorySettings, SharedChanges, SharedCheck, SharedItem,
-    SharedLease, SharedList, SharedStore, SharedStoreError, keep_directory,
+    Clock, DIRECTORY_WATCH_WAIT, Directory, DirectorySettings, SharedChanges, SharedCheck,
+    SharedItem, SharedLease, SharedList, SharedStore, SharedStoreError, keep_directory,
 };
 use tokio::sync::watch;
 use tokio::time::sleep;
@@ -141,6 +141,7 @@
         lease_time: Duration::from_secs(6),
         watch_wait: DIRECTORY_WATCH_WAIT,
         retry_pause: Duration::from_millis(150),
+        clock: Clock::start(),
     };
     let (sender, directory) = watch::channel(Directory::new());
     tokio::spawn(keep_directory(store.clone(), settings, sender));
--- a/crates/mastknot_side/src/agent/agent_actor.rs
+++ b/crates/mastknot_side/src/agent/agent_actor.rs
@@ -355,6 +355,7 @@
         let (is_known, known) = watch::channel(true);
         let task = tokio::spawn(keep_dialing(
             self.me.clone(),
+            self.parts.clock,
             address,
             stats,
             known,
--- a/crates/mastknot_side/src/agent/agent_dialing.rs
+++ b/crates/mastknot_side/src/agent/agent_dialing.rs
@@ -9,10 +9,11 @@
 use log::debug;
 use mastknot_core::agent::{DialBackoff, SessionId};
 use mastknot_core::job::{EntryOrder, SideReport};
+use mastknot_runtime::Clock;
 use mastknot_wire::{Link, LinkError, LinkKind, LinkStats, connect};
 use rand::RngExt;
 use tokio::sync::watch;
-use tokio::time::{Instant, sleep};
+use tokio::time::sleep;
 
 use super::TargetPort;
 use super::agent_actor::{AgentActor, AgentLinkDown, AgentLinkUp, AgentOrders};
@@ -26,6 +27,7 @@
 /// kept until it ends.
 pub(super) async fn keep_dialing<P: TargetPort>(
     actor: ActorRef<AgentActor<P>>,
+    clock: Clock,
     address: SocketAddr,
     stats: Arc<LinkStats>,
     is_known: watch::Receiver<bool>,
@@ -40,9 +42,12 @@
         let jitter = rand::rng().random_range(0.5..1.5);
         let (ended, pause) = match dialed {
             Ok(link) => {
-                let begun = Instant::now();
+                let begun = clock.monotonic();
                 let ended = serve(&actor, link).await;
-                (ended, backoff.after_link(begun.elapsed(), jitter))
+                (
+                    ended,
+                    backoff.after_link(clock.monotonic().since(begun), jitter),
+                )
             }
             Err(error) => (Err(error), backoff.after_failure(jitter)),
         };
