fix(agent): a hold is never asked for by a clock that was read long ago

Change: an idle target's clock is read each two seconds; between readings it is taken for the slowest that is allowed; nothing is started by a clock that was not read for three seconds, as after a suspension.

Ruled out: the hold that was sent is noted by its own clock, so that the side itself never believed runs over too early.

--- a/crates/mastknot_core/src/agent/looks.rs
+++ b/crates/mastknot_core/src/agent/looks.rs
@@ -49,12 +49,19 @@
         is_probing || is_busy || self.link.failed_looks > 0 || self.lives.other.is_some()
     }
 
+    /// When the next look is sent, if none is under way.
     pub(super) fn look_due(&self) -> Option<Moment> {
-        (self.look.is_none() && self.needs_look()).then_some(self.look_not_before)
+        if self.look.is_some() {
+            return None;
+        }
+        match self.needs_look() {
+            true => Some(self.look_not_before),
+            false => self.link.clock_due().map(|at| at.max(self.look_not_before)),
+        }
     }
 
     pub(super) fn ensure_look(&mut self, now: Moment) {
-        if self.look.is_some() || !self.needs_look() || now < self.look_not_before {
+        if self.look_due().is_none_or(|due| now < due) {
             return;
         }
         let number = self.next_look;
@@ -86,6 +93,10 @@
         if is_unknown || self.link.failed_looks > 0 || self.lives.other.is_some() {
             return Duration::ZERO;
         }
+        // Nothing can end: the look is for the target's clock.
+        if self.runs.is_empty() && self.survivors.is_empty() {
+            return Duration::ZERO;
+        }
         let is_open = self.runs.iter().any(|(_, run)| run.phase_is_open());
         match is_open || !self.survivors.is_empty() {
             true => OPEN_LOOK_WAIT,
--- a/crates/mastknot_core/src/agent/orders.rs
+++ b/crates/mastknot_core/src/agent/orders.rs
@@ -101,7 +101,8 @@
             return Some(NotRunCause::Late);
         }
         let is_paused = self.health.is_on_probation() && now < self.health.paused_until();
-        if self.condition == TargetCondition::Absent || self.link.token.is_none() {
+        let is_unknown = self.link.token.is_none() || self.link.is_clock_stale(now);
+        if self.condition == TargetCondition::Absent || is_unknown {
             return Some(NotRunCause::TargetUnavailable);
         }
         let is_known = self.runs.get(&start.run).is_some();
--- a/crates/mastknot_core/src/agent/target_link.rs
+++ b/crates/mastknot_core/src/agent/target_link.rs
@@ -37,6 +37,11 @@
 
 /// A target's clock may be slow by this factor.
 const SLOW_CLOCK: f64 = 1.03;
+/// A target's clock is read again after this time: by then it may be 60 ms off, the part of a hold that is lost to
+/// caution. After 40 s without a reading holds were up to 0.8 s too long, and runs outlived their side by that.
+const CLOCK_READ_EACH: Duration = Duration::from_secs(2);
+/// Without a reading for this long nothing is started: the process or its VM stood still.
+const CLOCK_STALE: Duration = Duration::from_secs(3);
 
 impl TargetLink {
     /// Takes a reading of the target's clock.
@@ -46,16 +51,29 @@
         self.clock = Some(ClockReading { at: now, clock_ms });
     }
 
-    /// The target's clock at a moment of this process.
+    /// What the target's clock shows at least at a moment of this process: a hold that is asked for by it is never too
+    /// long.
     pub(crate) fn clock_at(&self, moment: Moment) -> Option<u64> {
         let reading = self.clock?;
         if moment >= reading.at {
-            return Some(reading.clock_ms + moment.since(reading.at).as_millis() as u64);
+            let passed = moment.since(reading.at).div_f64(SLOW_CLOCK);
+            return Some(reading.clock_ms + passed.as_millis() as u64);
         }
         let before = reading.at.since(moment).as_millis() as u64;
         Some(reading.clock_ms.saturating_sub(before))
     }
 
+    /// When the target's clock is to be read again; none if it was never read.
+    pub(crate) fn clock_due(&self) -> Option<Moment> {
+        self.clock.map(|reading| reading.at + CLOCK_READ_EACH)
+    }
+
+    /// Whether too much time has passed since the target's clock was read.
+    pub(crate) fn is_clock_stale(&self, now: Moment) -> bool {
+        let reading = self.clock;
+        reading.is_none_or(|reading| now.since(reading.at) > CLOCK_STALE)
+    }
+
     /// Notes that the target was told to hold its runs until this time on its clock.
     pub(crate) fn note_hold(&mut self, until_ms: u64) {
         self.longest_hold_ms = self.longest_hold_ms.max(until_ms);
