--- a/crates/mastknot_cli/src/commands/explain_logs/job_record.rs
+++ b/crates/mastknot_cli/src/commands/explain_logs/job_record.rs
@@ -16,6 +16,8 @@
     GivenUp,
     /// A task failed as often as its queue allows.
     Failed,
+    /// A task crashes the targets on which it starts.
+    CrashesTargets,
     /// Its caller left.
     CallerLeft,
 }
@@ -71,6 +73,7 @@
         "Completed" => JobEnd::Late,
         "Refused" => JobEnd::Refused,
         "TimedOut" => JobEnd::GivenUp,
+        "Failed" if answer.contains("CrashesTargets") => JobEnd::CrashesTargets,
         _ => JobEnd::Failed,
     }
 }
--- a/crates/mastknot_cli/src/commands/explain_logs/log_line.rs
+++ b/crates/mastknot_cli/src/commands/explain_logs/log_line.rs
@@ -49,10 +49,11 @@
         self.text("request_id")
     }
 
-    /// The job that the line names, by itself or as a part of a run's name.
+    /// The job that the line names, by itself or as a part of a run's or a task's name.
     pub(super) fn job(&self) -> Option<&str> {
+        let part = self.text("run").or_else(|| self.text("task"));
         let named = self.text("job");
-        named.or_else(|| self.text("run")?.split('/').next())
+        named.or_else(|| part?.split('/').next())
     }
 
     /// The line in words: when, which process, what, with which inputs.
--- a/crates/mastknot_cli/src/commands/explain_logs/loss_cause.rs
+++ b/crates/mastknot_cli/src/commands/explain_logs/loss_cause.rs
@@ -18,6 +18,8 @@
     BrokenRun,
     /// Its tasks failed as often as its queue allows.
     Failed,
+    /// A task of it crashes the targets on which it starts.
+    CrashesTargets,
     /// All of it started in time: its work, or its target, was slow.
     SlowRun,
     /// Its entry ended or stood still before the answer.
@@ -33,6 +35,7 @@
             JobEnd::InTime => return None,
             JobEnd::Refused => Self::NoRoom,
             JobEnd::Failed => Self::Failed,
+            JobEnd::CrashesTargets => Self::CrashesTargets,
             JobEnd::None => Self::NoAnswer,
             JobEnd::CallerLeft => Self::CallerLeft,
             JobEnd::Late | JobEnd::GivenUp if job.has_unanswered_order => Self::UnansweredOrder,
@@ -53,6 +56,7 @@
             Self::UnansweredOrder => "unanswered order",
             Self::BrokenRun => "broken run",
             Self::Failed => "failed",
+            Self::CrashesTargets => "crashes targets",
             Self::SlowRun => "slow run",
             Self::NoAnswer => "no answer",
             Self::CallerLeft => "caller left",
--- a/crates/mastknot_cli/src/commands/explain_logs/verdict.rs
+++ b/crates/mastknot_cli/src/commands/explain_logs/verdict.rs
@@ -32,6 +32,12 @@
 }
 
 fn cause(story: &[LogLine], answered: &LogLine) -> String {
+    if let Some(given_up) = last(story, "task_given_up") {
+        let task = given_up.text("task").unwrap_or_default();
+        let crashes = given_up.number("crashes").unwrap_or_default();
+        let ran_ms = given_up.text("ran_ms").unwrap_or_default();
+        return format!("{crashes:.0} targets crashed under task {task}, after {ran_ms} ms");
+    }
     // Sides name the same ends; an entry's lines name the side too.
     let of_entry = |line: &&LogLine| line.event() == "run_ended" && line.text("side").is_some();
     let broken = story.iter().filter(of_entry);
--- a/crates/mastknot_cli/tests/explain_logs.rs
+++ b/crates/mastknot_cli/tests/explain_logs.rs
@@ -79,6 +79,26 @@
     );
 }
 
+const CRASHING: &str = r#"{"at":100.000,"event":"job_taken","job":"aa00000000000009","objective_ms":150,"request_id":"r9","tasks":1,"waiting_jobs":0}
+{"at":100.001,"event":"task_placed","run":"aa00000000000009/0/0#7","request_id":"r9","side":"side-1","waited_ms":1}
+{"at":100.014,"event":"run_ended","run":"aa00000000000009/0/0#7","request_id":"r9","side":"side-1","end":"Crashed","failures":0,"crashes":1}
+{"at":100.015,"event":"task_placed","run":"aa00000000000009/0/0#8","request_id":"r9","side":"side-2","waited_ms":15}
+{"at":100.028,"event":"task_given_up","task":"aa00000000000009/0/0","request_id":"r9","crashes":2,"ran_ms":"[12, 12]"}
+{"at":100.028,"event":"job_answered","job":"aa00000000000009","request_id":"r9","answer":"Failed { cause: CrashesTargets }","after_ms":28,"first_start_ms":1,"starts":2,"in_time":true}
+"#;
+
+#[test]
+fn a_failed_request_is_told_with_the_task_that_crashes_targets() {
+    let files = [("entry-1.log", CRASHING)];
+    let (exit, printed) = explain_files("crashing", &files, "r9");
+    let last = printed.lines().last();
+    let told = "It ended as Failed { cause: CrashesTargets } after 28 ms: 2 targets crashed under task \
+                aa00000000000009/0/0, after [12, 12] ms.";
+    assert_eq!((exit, last), (Some(0), Some(told)));
+    let (_, summary) = explain_files("crashing-all", &files, "--summary");
+    assert!(summary.contains("1  crashes targets"), "{summary}");
+}
+
 #[test]
 fn a_request_without_an_answer_points_at_its_entry() {
     check(
