--- a/crates/mastknot_core/src/scheduler/suspects.rs
+++ b/crates/mastknot_core/src/scheduler/suspects.rs
@@ -67,6 +67,7 @@
             other.is_some_and(|other| is_on_trial(now, side, other) && ran_alike(ran, other))
         })
     }
+
     /// Whether another task of the job is on trial that may have crashed the same target: if it did, the job is
     /// answered, and this one need not cost a target of its own.
     pub(super) fn waits_for_trial(&self, now: Moment, job: &ActiveJob, task: usize) -> bool {
