test(virtual): targets whose room shrinks and grows

100 random histories of resizes beside other faults, with targets that guard their room and such that start whatever they are told: no start over a room that has been known for a beat and the longest standstill. Sides that go by the first room break that, so that the audit sees it.

--- a/crates/mastknot_virtual/src/jobs/act.rs
+++ b/crates/mastknot_virtual/src/jobs/act.rs
@@ -110,6 +110,9 @@
     StartTarget {
         side: usize,
     },
+    ResizeOver {
+        side: usize,
+    },
     MoodOver {
         side: usize,
     },
--- a/crates/mastknot_virtual/src/jobs/job_audit.rs
+++ b/crates/mastknot_virtual/src/jobs/job_audit.rs
@@ -27,6 +27,13 @@
         /// The task.
         task: TaskRef,
     },
+    /// A start brought a target over its room.
+    StartedWithoutRoom {
+        /// The run.
+        run: RunId,
+        /// What all runs took then, in thousandths of a core.
+        used_cpu_millis: u32,
+    },
     /// A task that crashes its targets was started again and again.
     StartedInSpiteOfCrashes {
         /// The task.
@@ -118,6 +125,13 @@
         }
     }
 
+    pub(super) fn started_without_room(&mut self, run: RunId, used_cpu_millis: u32) {
+        self.violations.push(JobViolation::StartedWithoutRoom {
+            run,
+            used_cpu_millis,
+        });
+    }
+
     pub(super) fn crashed_under(&mut self, task: TaskRef) {
         *self.crashes.entry(task).or_default() += 1;
     }
--- a/crates/mastknot_virtual/src/jobs/job_faults.rs
+++ b/crates/mastknot_virtual/src/jobs/job_faults.rs
@@ -99,6 +99,15 @@
         /// Whether it is silent meanwhile, in place of refusing connections.
         is_dark: bool,
     },
+    /// A target has less room, or more, for a while; what runs goes on.
+    Resize {
+        /// The target's side.
+        side: usize,
+        /// Its processor, in thousandths of a core.
+        cpu_millis: u32,
+        /// For how long.
+        time: Duration,
+    },
     /// A target behaves badly for a while.
     Mood {
         /// The target's side.
--- a/crates/mastknot_virtual/src/jobs/job_system.rs
+++ b/crates/mastknot_virtual/src/jobs/job_system.rs
@@ -100,6 +100,10 @@
     pub(super) unanswered: BTreeSet<JobId>,
     /// Whether the processes read a clock that stands still while their VM is suspended.
     pub(super) has_steady_clocks: bool,
+    /// Whether the sides hear only of the room that targets have at first.
+    pub(super) hides_resizes: bool,
+    /// Whether targets start what does not fit.
+    pub(super) has_unguarded_targets: bool,
     /// Tasks that every target runs as if it were in this mood.
     pub(super) task_moods: HashMap<TaskRef, TargetMood>,
     /// Tasks that crash the targets on which they start.
@@ -140,6 +144,8 @@
             jobs: BTreeMap::new(),
             unanswered: BTreeSet::new(),
             has_steady_clocks: false,
+            hides_resizes: false,
+            has_unguarded_targets: false,
             task_moods: HashMap::new(),
             crashing: HashMap::new(),
             audit: JobAudit::default(),
@@ -222,11 +228,6 @@
         self.now = until;
     }
 
-    /// Lets the processes read a clock that stands still while their VM is suspended: what they must not do.
-    pub fn use_steady_clocks(&mut self) {
-        self.has_steady_clocks = true;
-    }
-
     /// What the clock of a process shows that was asleep for this long.
     pub(super) fn moment(&self, asleep: u64) -> Moment {
         Moment::from_micros(self.now - self.clock_lag(asleep))
@@ -361,6 +362,7 @@
             } => self.segment_sent(entry, is_to_side, session, bytes),
             Act::Publish(document) => self.published = Some(document),
             Act::Published { entry, document } => self.take_document(entry, document),
+            Act::ResizeOver { side } => self.resize_target(side, self.settings.cpu_millis),
             Act::MoodOver { side } => {
                 if let Some(target) = &mut self.targets[side].target {
                     target.mood = TargetMood::Sound;
--- a/crates/mastknot_virtual/src/jobs/mod.rs
+++ b/crates/mastknot_virtual/src/jobs/mod.rs
@@ -16,6 +16,7 @@
 mod target_slot;
 mod targets;
 mod thin_links;
+mod variants;
 mod virtual_target;
 
 pub use bad_tasks::TaskCrash;
--- a/crates/mastknot_virtual/src/jobs/strikes.rs
+++ b/crates/mastknot_virtual/src/jobs/strikes.rs
@@ -60,6 +60,14 @@
                 self.crash_target(side, is_dark);
                 self.later(down.as_micros() as u64, Act::StartTarget { side });
             }
+            JobFault::Resize {
+                side,
+                cpu_millis,
+                time,
+            } => {
+                self.resize_target(side, cpu_millis);
+                self.later(time.as_micros() as u64, Act::ResizeOver { side });
+            }
             JobFault::Mood { side, mood, time } => {
                 if let Some(target) = &mut self.targets[side].target {
                     target.mood = mood;
--- a/crates/mastknot_virtual/src/jobs/targets.rs
+++ b/crates/mastknot_virtual/src/jobs/targets.rs
@@ -11,6 +11,9 @@
 use super::target_slot::OpenLook;
 use super::virtual_target::{TargetMood, VirtualStart, VirtualTarget};
 
+/// A room that has changed is known to the side by then, which may stand still for 3.5 s: a beat, and a call on its way.
+const ROOM_KNOWN_AFTER: u64 = 3_500 * MILLI + BEAT + 100 * MILLI;
+
 impl JobSystem {
     pub(super) fn start_target(&mut self, side: usize) {
         let slow = self.rng.random_range(0..=20);
@@ -32,14 +35,14 @@
         let Some(target) = slot.target.as_ref().filter(|_| slot.lives == lives) else {
             return;
         };
+        let mut capacity = target.capacity;
+        if self.hides_resizes {
+            capacity.cpu_millis = self.settings.cpu_millis;
+        }
         let profile = TargetProfile {
             id: target.id.clone(),
             service: Arc::from("service"),
-            capacity: Room {
-                cpu_millis: self.settings.cpu_millis,
-                memory_mb: 32_768,
-                accelerators: 0,
-            },
+            capacity,
             labels: Vec::new(),
         };
         let event = AgentEvent::TargetReported(TargetReport {
@@ -53,6 +56,27 @@
         self.later(BEAT, Act::Beat { side, lives });
     }
 
+    /// A target's room changes; it says so with its next beat.
+    pub(super) fn resize_target(&mut self, side: usize, cpu_millis: u32) {
+        let now = self.now;
+        if let Some(target) = &mut self.targets[side].target {
+            target.capacity.cpu_millis = cpu_millis;
+            target.resized = now;
+        }
+    }
+
+    /// Whether a target holds more than its room although that has been known for long.
+    fn check_room(&mut self, side: usize, run: RunId) {
+        let Some(target) = &self.targets[side].target else {
+            return;
+        };
+        let is_known = self.now > target.resized + ROOM_KNOWN_AFTER;
+        let used = target.used();
+        if is_known && !target.capacity.holds(&used) {
+            self.audit.started_without_room(run, used.cpu_millis);
+        }
+    }
+
     /// What becomes of the next call to a target.
     pub(super) fn call_fate(&mut self, side: usize) -> CallFate {
         let slot = &mut self.targets[side];
@@ -175,8 +199,9 @@
         let Some(target) = &mut self.targets[side].target else {
             return;
         };
-        let (outcome, has_begun) = target.start(now, start);
+        let (outcome, has_begun) = target.start(now, start, !self.has_unguarded_targets);
         if has_begun {
+            self.check_room(side, start.run);
             self.audit.run_started(now, side, start.run);
             self.plan_crash_under(side, start.run);
         }
--- a/crates/mastknot_virtual/src/jobs/virtual_target.rs
+++ b/crates/mastknot_virtual/src/jobs/virtual_target.rs
@@ -36,7 +36,9 @@
 #[derive(Clone, Debug)]
 pub struct VirtualTarget {
     pub(super) id: TargetId,
-    capacity: Room,
+    pub(super) capacity: Room,
+    /// When its room last changed.
+    pub(super) resized: u64,
     /// Parts in a thousand by which its clock is slow.
     slow_permille: u64,
     born: u64,
@@ -67,6 +69,7 @@
         Self {
             id,
             capacity,
+            resized: now,
             slow_permille,
             born: now,
             hold_until_ms: 0,
@@ -136,13 +139,19 @@
         self.hold_until_ms = self.hold_until_ms.max(until_ms.min(longest));
     }
 
-    fn used(&self) -> Room {
+    /// What runs takes, what is being stopped included.
+    pub(super) fn used(&self) -> Room {
         let runs = self.runs.values();
         runs.fold(Room::default(), |used, run| used.with(&run.room))
     }
 
-    /// Starts a run; says whether it began now.
-    pub(super) fn start(&mut self, now: u64, order: &VirtualStart) -> (OrderOutcome, bool) {
+    /// Starts a run; says whether it began now. A target that does not guard its room starts what does not fit.
+    pub(super) fn start(
+        &mut self,
+        now: u64,
+        order: &VirtualStart,
+        guards_room: bool,
+    ) -> (OrderOutcome, bool) {
         let clock_ms = self.clock_ms(now);
         let refused = |refusal| (OrderOutcome::Refused(refusal), false);
         if order
@@ -171,7 +180,7 @@
         if order.run.attempt <= fence {
             return refused(OrderRefusal::Old);
         }
-        if !self.capacity.without(&self.used()).holds(&order.room) {
+        if guards_room && !self.capacity.without(&self.used()).holds(&order.room) {
             return refused(OrderRefusal::NoRoom);
         }
         let ends = match order.task_mood.unwrap_or(self.mood) {
--- a/crates/mastknot_virtual/tests/job_faults.rs
+++ b/crates/mastknot_virtual/tests/job_faults.rs
@@ -351,6 +351,53 @@
     );
 }
 
+/// Targets that shrink and grow beside other faults, some while their side stands still.
+fn play_resizes(seed: u64, prepare: impl Fn(&mut JobSystem)) -> JobSystem {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut system = system(seed);
+    prepare(&mut system);
+    load(&mut system, 200, 9_000);
+    for _ in 0..5 {
+        let at = millis(rng.random_range(300..4_000));
+        let fault = JobFault::Resize {
+            side: rng.random_range(0..SIDES),
+            cpu_millis: [0, 1_000, 4_000, 9_000, 32_000][rng.random_range(0..5)],
+            time: millis(rng.random_range(200..9_000)),
+        };
+        system.plan(JobFaultPlan { at, fault });
+    }
+    for _ in 0..rng.random_range(0..4) {
+        let at = millis(rng.random_range(300..7_000));
+        let fault = random_fault(&mut rng);
+        system.plan(JobFaultPlan { at, fault });
+    }
+    system.run_until(millis(25_000));
+    system
+}
+
+#[test]
+fn room_that_shrinks_and_grows_breaks_nothing() {
+    for seed in 0..100 {
+        let system = play_resizes(seed, |_| {});
+        assert_kept(&system, &format!("seed {seed}"));
+        let system = play_resizes(seed, JobSystem::unguard_targets);
+        assert_kept(&system, &format!("seed {seed}, unguarded"));
+    }
+}
+
+#[test]
+fn sides_that_go_by_the_first_room_would_overfill_targets() {
+    let is_broken = |seed: &u64| {
+        let system = play_resizes(*seed, |system| {
+            system.unguard_targets();
+            system.hide_resizes();
+        });
+        !system.violations().is_empty()
+    };
+    let broken = (0..100).filter(is_broken).count();
+    assert!(broken > 0, "the audit does not see it");
+}
+
 /// Entries and sides whose VMs are suspended, in turn and both at once.
 fn play_suspensions(seed: u64, has_steady_clocks: bool) -> JobSystem {
     let mut rng = StdRng::seed_from_u64(seed);
