--- a/crates/mastknot_virtual/tests/large_fleet.rs
+++ b/crates/mastknot_virtual/tests/large_fleet.rs
@@ -216,7 +216,7 @@
     for side in 0..240 {
         let down = Duration::from_millis(100 + side % 200);
         let side = side as usize;
-        if side % 5 == 0 {
+        if side.is_multiple_of(5) {
             let is_dark = false;
             plan(
                 gone_at,
