--- a/crates/mastknot_runtime/src/lib.rs
+++ b/crates/mastknot_runtime/src/lib.rs
@@ -29,8 +29,9 @@
 };
 pub use shared_store::{
     DIRECTORY_WATCH_WAIT, Directory, DirectorySettings, KnownRevision, OperatorFeedSettings,
-    OperatorNews, SharedChanges, SharedCheck, SharedItem, SharedLease, SharedList, SharedStore,
-    SharedStoreError, StoreCallCounts, feed_operator_news, keep_directory,
+    OperatorNews, OwnEntry, SharedChanges, SharedCheck, SharedItem, SharedLease, SharedList,
+    SharedStore, SharedStoreError, SharedWrite, StoreCallCounts, feed_operator_news,
+    keep_directory, read_directory,
 };
 pub use signals::{ReloadSignals, Signals, StopSignal};
 pub use store::{
--- a/crates/mastknot_runtime/src/shared_store/directory_view.rs
+++ b/crates/mastknot_runtime/src/shared_store/directory_view.rs
@@ -3,25 +3,47 @@
 
 use mastknot_core::types::Moment;
 
-use super::{Directory, SharedItem};
+use super::Directory;
 
 /// After the store's return, entries whose leases ran out meanwhile have this long to list themselves
 /// again; one that is still missing then is gone.
 const RELIST_GRACE: Duration = Duration::from_secs(2);
 
+/// What a key of the directory holds.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) enum Listed<V> {
+    /// A value that can be read.
+    Value(V),
+    /// Something that another writer has put there: what is known of the entry holds on.
+    Unreadable,
+    /// The key is gone.
+    Gone,
+}
+
 /// What a process believes of the listed entries, through outages of the store.
-#[derive(Clone, Debug, Default)]
-pub(super) struct DirectoryView {
-    entries: Directory,
+#[derive(Clone, Debug)]
+pub(super) struct DirectoryView<V> {
+    entries: Directory<V>,
     /// Entries that went missing around the store's return, and when they count as gone.
     missing: BTreeMap<String, Moment>,
     is_away: bool,
     returned: Option<Moment>,
 }
 
-impl DirectoryView {
+impl<V> Default for DirectoryView<V> {
+    fn default() -> Self {
+        Self {
+            entries: Directory::new(),
+            missing: BTreeMap::new(),
+            is_away: false,
+            returned: None,
+        }
+    }
+}
+
+impl<V> DirectoryView<V> {
     /// The entries that count as listed.
-    pub(super) fn entries(&self) -> &Directory {
+    pub(super) fn entries(&self) -> &Directory<V> {
         &self.entries
     }
 
@@ -38,27 +60,27 @@
     }
 
     /// Takes the whole list as the store has it.
-    pub(super) fn replace(&mut self, now: Moment, listed: Directory) {
+    pub(super) fn replace(&mut self, now: Moment, listed: Vec<(String, Listed<V>)>) {
         let known: Vec<String> = self.entries.keys().cloned().collect();
-        for name in known {
-            if !listed.contains_key(&name) {
-                self.remove(now, &name);
-            }
+        let is_listed = |name: &String| listed.iter().any(|(other, _)| other == name);
+        let unlisted: Vec<String> = known.into_iter().filter(|name| !is_listed(name)).collect();
+        for name in unlisted {
+            self.remove(now, &name);
         }
         for (name, value) in listed {
-            self.insert(name, value);
+            self.apply(now, name, value);
         }
     }
 
     /// Takes one change.
-    pub(super) fn apply(&mut self, now: Moment, prefix: &str, item: SharedItem) {
-        let Some(name) = item.key.strip_prefix(prefix) else {
-            return;
-        };
-        match item.value.map(String::from_utf8) {
-            Some(Ok(value)) => self.insert(name.to_owned(), value),
-            Some(Err(_)) => {}
-            None => self.remove(now, name),
+    pub(super) fn apply(&mut self, now: Moment, name: String, value: Listed<V>) {
+        match value {
+            Listed::Value(value) => {
+                self.missing.remove(&name);
+                self.entries.insert(name, value);
+            }
+            Listed::Unreadable => {}
+            Listed::Gone => self.remove(now, &name),
         }
     }
 
@@ -79,11 +101,6 @@
         });
     }
 
-    fn insert(&mut self, name: String, value: String) {
-        self.missing.remove(&name);
-        self.entries.insert(name, value);
-    }
-
     fn remove(&mut self, now: Moment, name: &str) {
         let grace_ends = self.returned.map(|returned| returned + RELIST_GRACE);
         match grace_ends.filter(|ends| *ends > now) {
--- a/crates/mastknot_runtime/src/shared_store/mod.rs
+++ b/crates/mastknot_runtime/src/shared_store/mod.rs
@@ -1,19 +1,22 @@
 //! The platform's key-value service as the product sees it; adapters implement it.
 
+mod directory_settings;
 mod directory_view;
 mod drained_view;
 mod entry_directory;
 mod operator_feed;
 mod operator_news;
+mod own_listing;
 mod shared_item;
 mod shared_store_error;
 mod store_call_counts;
 
-pub use entry_directory::{DIRECTORY_WATCH_WAIT, Directory, DirectorySettings, keep_directory};
+pub use directory_settings::{DirectorySettings, OwnEntry};
+pub use entry_directory::{DIRECTORY_WATCH_WAIT, Directory, keep_directory, read_directory};
 pub use operator_feed::{OperatorFeedSettings, feed_operator_news};
 pub use operator_news::OperatorNews;
 pub use shared_item::{
-    KnownRevision, SharedChanges, SharedCheck, SharedItem, SharedLease, SharedList,
+    KnownRevision, SharedChanges, SharedCheck, SharedItem, SharedLease, SharedList, SharedWrite,
 };
 pub use shared_store_error::SharedStoreError;
 pub use store_call_counts::StoreCallCounts;
@@ -67,11 +70,13 @@
         lease: SharedLease,
     ) -> impl Future<Output = Result<(), SharedStoreError>> + Send;
 
-    /// Writes a key that goes with a lease; false if the lease is over.
+    /// Writes a key that goes with a lease; only if the key has the `expected` revision, if one is given (0: it is
+    /// not there).
     fn write_leased(
         &self,
         key: &str,
         value: &[u8],
         lease: SharedLease,
-    ) -> impl Future<Output = Result<bool, SharedStoreError>> + Send;
+        expected: Option<u64>,
+    ) -> impl Future<Output = Result<SharedWrite, SharedStoreError>> + Send;
 }
--- a/crates/mastknot_runtime/src/shared_store/shared_item.rs
+++ b/crates/mastknot_runtime/src/shared_store/shared_item.rs
@@ -60,3 +60,14 @@
     /// How long it lasts without being renewed.
     pub time: Duration,
 }
+
+/// What became of a write.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SharedWrite {
+    /// It is done.
+    Done,
+    /// Its lease is over; nothing was done.
+    LeaseOver,
+    /// The key has another revision than the expected one; nothing was done.
+    Changed,
+}
--- a/crates/mastknot_runtime/tests/directory.rs
+++ b/crates/mastknot_runtime/tests/directory.rs
@@ -5,9 +5,9 @@
 use std::time::Duration;
 
 use mastknot_runtime::{
-    Clock, DIRECTORY_WATCH_WAIT, Directory, DirectorySettings, KnownRevision, SharedChanges,
-    SharedCheck, SharedItem, SharedLease, SharedList, SharedStore, SharedStoreError,
-    keep_directory,
+    Clock, DIRECTORY_WATCH_WAIT, Directory, DirectorySettings, KnownRevision, OwnEntry,
+    SharedChanges, SharedCheck, SharedItem, SharedLease, SharedList, SharedStore, SharedStoreError,
+    SharedWrite, keep_directory,
 };
 use tokio::sync::watch;
 use tokio::time::sleep;
@@ -23,6 +23,8 @@
     is_away: bool,
     /// Watches say nothing any more, other calls are answered.
     is_watch_silent: bool,
+    /// How often the process under test has written.
+    own_writes: usize,
     revision: u64,
     items: BTreeMap<String, Vec<u8>>,
     changes: Vec<SharedItem>,
@@ -34,10 +36,21 @@
     }
 
     fn change(&self, name: &str, value: Option<&str>) {
+        self.put(name, value.map(str::as_bytes));
+    }
+
+    /// The revision of a key that is there, else 0.
+    fn newest_of(&self, key: &str) -> u64 {
+        let state = self.0.lock().unwrap();
+        let newest = state.changes.iter().rev().find(|item| item.key == key);
+        newest.map_or(0, |item| if item.is_gone() { 0 } else { item.revision })
+    }
+
+    fn put(&self, name: &str, value: Option<&[u8]>) {
         let mut state = self.0.lock().unwrap();
         state.revision += 1;
         let key = format!("{PREFIX}{name}");
-        let value = value.map(|value| value.as_bytes().to_vec());
+        let value = value.map(<[u8]>::to_vec);
         match &value {
             Some(value) => state.items.insert(key.clone(), value.clone()),
             None => state.items.remove(&key),
@@ -116,11 +129,20 @@
 
     async fn write_leased(
         &self,
-        _: &str,
-        _: &[u8],
+        key: &str,
+        value: &[u8],
         _: SharedLease,
-    ) -> Result<bool, SharedStoreError> {
-        self.check().map(|()| true)
+        expected: Option<u64>,
+    ) -> Result<SharedWrite, SharedStoreError> {
+        self.check()?;
+        let newest = self.newest_of(key);
+        if expected.is_some_and(|expected| expected != newest) {
+            return Ok(SharedWrite::Changed);
+        }
+        self.0.lock().unwrap().own_writes += 1;
+        let name = key.strip_prefix(PREFIX).unwrap();
+        self.put(name, Some(value));
+        Ok(SharedWrite::Done)
     }
 }
 
@@ -135,10 +157,20 @@
     }
 }
 
-fn follow(store: &MemoryStore) -> watch::Receiver<Directory> {
+/// Values are texts of digits.
+fn read(value: &[u8]) -> Option<u64> {
+    std::str::from_utf8(value).ok()?.parse().ok()
+}
+
+fn follow(store: &MemoryStore) -> watch::Receiver<Directory<u64>> {
+    keep(store, None)
+}
+
+fn keep(store: &MemoryStore, own: Option<OwnEntry>) -> watch::Receiver<Directory<u64>> {
     let settings = DirectorySettings {
         prefix: PREFIX.to_owned(),
-        own: None,
+        own,
+        read,
         lease_time: Duration::from_secs(6),
         watch_wait: DIRECTORY_WATCH_WAIT,
         retry_pause: Duration::from_millis(150),
@@ -149,7 +181,7 @@
     directory
 }
 
-async fn names_after(directory: &watch::Receiver<Directory>, ms: u64) -> Vec<String> {
+async fn names_after(directory: &watch::Receiver<Directory<u64>>, ms: u64) -> Vec<String> {
     sleep(Duration::from_millis(ms)).await;
     directory.borrow().keys().cloned().collect()
 }
@@ -208,3 +240,57 @@
     store.change("b", Some("2"));
     assert_eq!(names_after(&directory, 8_000).await, ["a", "b"]);
 }
+
+/// Bytes of another writer took the place of a good entry.
+#[tokio::test(start_paused = true)]
+async fn a_value_that_cannot_be_read_takes_nothing_from_what_is_known() {
+    let store = MemoryStore::default();
+    store.change("a", Some("1"));
+    store.change("b", Some("2"));
+    let directory = follow(&store);
+    assert_eq!(names_after(&directory, 100).await, ["a", "b"]);
+    store.put("a", Some(&[0xff, 0xfe]));
+    store.change("b", Some("no number"));
+    store.change("c", Some(""));
+    store.put("d", Some(&vec![b'1'; 1 << 20]));
+    store.change("e", Some("5"));
+    assert_eq!(names_after(&directory, 100).await, ["a", "b", "e"]);
+    // The list that is read anew says the same.
+    assert_eq!(names_after(&directory, 20_000).await, ["a", "b", "e"]);
+    assert_eq!(directory.borrow()["a"], 1);
+    store.change("a", None);
+    assert_eq!(names_after(&directory, 100).await, ["b", "e"]);
+}
+
+fn own() -> Option<OwnEntry> {
+    Some(OwnEntry {
+        name: "own".to_owned(),
+        value: "7".to_owned(),
+    })
+}
+
+#[tokio::test(start_paused = true)]
+async fn the_own_key_is_written_again_after_another_writer_changed_or_removed_it() {
+    let store = MemoryStore::default();
+    let directory = keep(&store, own());
+    assert_eq!(names_after(&directory, 500).await, ["own"]);
+    for foreign in [Some("13"), Some("rubbish"), None] {
+        store.change("own", foreign);
+        sleep(Duration::from_secs(2)).await;
+        assert_eq!(directory.borrow()["own"], 7, "after {foreign:?}");
+    }
+}
+
+/// Another writer takes the key again and again: writing it back gets rarer.
+#[tokio::test(start_paused = true)]
+async fn two_writers_of_one_key_do_not_fight_without_end() {
+    let store = MemoryStore::default();
+    let _directory = keep(&store, own());
+    sleep(Duration::from_millis(500)).await;
+    for _ in 0..2_000 {
+        store.change("own", Some("13"));
+        sleep(Duration::from_millis(100)).await;
+    }
+    let writes = store.0.lock().unwrap().own_writes;
+    assert!((5..=16).contains(&writes), "{writes} writes in 200 s");
+}
--- a/crates/mastknot_runtime/tests/operator_feed.rs
+++ b/crates/mastknot_runtime/tests/operator_feed.rs
@@ -13,7 +13,7 @@
 use mastknot_core::types::Hall;
 use mastknot_runtime::{
     KnownRevision, OperatorFeedSettings, OperatorNews, SharedChanges, SharedCheck, SharedItem,
-    SharedLease, SharedList, SharedStore, SharedStoreError, feed_operator_news,
+    SharedLease, SharedList, SharedStore, SharedStoreError, SharedWrite, feed_operator_news,
 };
 use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep};
@@ -195,7 +195,8 @@
         _: &str,
         _: &[u8],
         _: SharedLease,
-    ) -> Result<bool, SharedStoreError> {
+        _: Option<u64>,
+    ) -> Result<SharedWrite, SharedStoreError> {
         unreachable!("nothing is written")
     }
 }
--- a/crates/mastknot_side/src/agent/finding.rs
+++ b/crates/mastknot_side/src/agent/finding.rs
@@ -4,7 +4,7 @@
 
 use log::info;
 use mastknot_core::job::KnownEntry;
-use mastknot_runtime::{Directory, SharedStore};
+use mastknot_runtime::{Directory, SharedStore, read_directory};
 use tokio::time::sleep;
 
 use super::{AgentNode, TargetPort};
@@ -16,19 +16,21 @@
 
 /// Where entries are listed, and how their list is read.
 #[derive(Clone, Debug)]
-pub struct FindEntries<S> {
+pub struct FindEntries<S, V> {
     /// The store.
     pub store: S,
     /// All entries' keys begin so.
     pub prefix: String,
-    /// Reads the list.
-    pub read: fn(&Directory) -> Vec<KnownEntry>,
+    /// Reads a value.
+    pub read: fn(&[u8]) -> Option<V>,
+    /// Makes entries of the list.
+    pub entries_of: fn(&Directory<V>) -> Vec<KnownEntry>,
 }
 
 /// Reads the list of entries while no link stands; entries that are linked tell of the others.
-pub async fn find_entries<P: TargetPort, S: SharedStore>(
+pub async fn find_entries<P: TargetPort, S: SharedStore, V>(
     node: AgentNode<P>,
-    places: FindEntries<S>,
+    places: FindEntries<S, V>,
 ) {
     let mut pause = FIRST_CHECK;
     loop {
@@ -43,12 +45,8 @@
         let Ok(list) = places.store.list(&places.prefix).await else {
             continue;
         };
-        let named = list.items.into_iter().filter_map(|item| {
-            let name = item.key.strip_prefix(&places.prefix)?.to_owned();
-            let value = String::from_utf8(item.value?).ok()?;
-            Some((name, value))
-        });
-        let entries = (places.read)(&named.collect());
+        let listed = read_directory(&places.prefix, &list.items, places.read);
+        let entries = (places.entries_of)(&listed);
         info!(entries = entries.len(); "entries read from the store");
         node.learn_entries(entries).await;
     }
--- a/crates/mastknot_side/src/agent/target_memory.rs
+++ b/crates/mastknot_side/src/agent/target_memory.rs
@@ -4,7 +4,7 @@
 
 use log::{info, warn};
 use mastknot_core::job::TargetProfile;
-use mastknot_runtime::{SharedLease, SharedStore, SharedStoreError};
+use mastknot_runtime::{SharedLease, SharedStore, SharedStoreError, SharedWrite};
 use mastknot_wire::{decode_message, encode_frame};
 use tokio::sync::watch;
 use tokio::time::sleep;
@@ -85,11 +85,12 @@
         Some(held) => held,
         None => store.grant(REMEMBERED_FOR).await?,
     };
-    let is_valid = store
-        .write_leased(key, &frame[LENGTH_BYTES..], held)
+    let written = store
+        .write_leased(key, &frame[LENGTH_BYTES..], held, None)
         .await?;
-    *lease = is_valid.then_some(held);
-    match is_valid {
+    let is_done = written == SharedWrite::Done;
+    *lease = is_done.then_some(held);
+    match is_done {
         true => Ok(()),
         false => Err(SharedStoreError::HistoryGone),
     }
