fix(scheduler): only links that would be kept are woken for their rank

The commit before compared with the highest rank in use, which may be one that is only kept while something runs there: eight links went to and fro ten times a second, 615 wake-ups in the second in which a hall returns (13 entries, 70 sides); the test of the hall's return failed on it.

--- a/crates/mastknot_core/src/scheduler/active_links.rs
+++ b/crates/mastknot_core/src/scheduler/active_links.rs
@@ -68,12 +68,13 @@
     /// up to 281 jobs a second were refused at a load of 0.95 (virtual time, `large_fleet.rs`; none with this).
     fn wake_lower_ranks(&mut self, now: Moment) {
         let used = self.sides.values().filter(|side| is_in_use(side));
-        let ranks: Vec<u32> = used.map(|side| side.rank).collect();
-        if ranks.len() < self.most_links() {
+        let mut ranks: Vec<u32> = used.map(|side| side.rank).collect();
+        ranks.sort_unstable();
+        // Links beyond that place go on standby as soon as nothing runs there.
+        let Some(last) = ranks.get(self.most_links().saturating_sub(1)).copied() else {
             return;
-        }
-        let highest = ranks.into_iter().max().unwrap_or_default();
-        let names = self.standby_names(WOKEN_TOGETHER, |side| side.rank < highest);
+        };
+        let names = self.standby_names(WOKEN_TOGETHER, |side| side.rank < last);
         names.iter().for_each(|name| self.wake(now, name));
     }
 
