feat(cli): operators drain and return halls through the resource interface and the command line

The same act as on the users' platform for the product's own interface: a resource 'drained-hall' of the hall's name is in force on every side with its version; the side grants no credits and refuses starts, what runs ends. mastknot drain-hall, return-hall, get halls (targets, what runs there, since when). Entries are told what is free when a hall returns.

--- a/crates/mastknot_cli/src/commands/mod.rs
+++ b/crates/mastknot_cli/src/commands/mod.rs
@@ -3,6 +3,7 @@
 mod check;
 mod explain;
 mod explain_logs;
+mod halls;
 mod resources;
 mod wait;
 mod watch;
@@ -53,6 +54,7 @@
         target,
     };
     match action {
+        Action::Get { kind, .. } if kind == "halls" => halls::list(&session).await,
         Action::Get { kind, name } => resources::get(&session, &kind, name.as_deref()).await,
         Action::Apply { file } => resources::apply(&session, &file).await,
         Action::Delete { kind, name } => resources::delete(&session, &kind, &name).await,
@@ -60,6 +62,8 @@
         Action::Wait { version, timeout } => wait::wait(&session, version, timeout).await,
         Action::Explain { key } => explain::explain(&session, &key).await,
         Action::Drain { target } => drain(&session, &target).await,
+        Action::DrainHall { hall, reason } => halls::drain(&session, &hall, &reason).await,
+        Action::ReturnHall { hall } => halls::give_back(&session, &hall).await,
     }
 }
 
--- a/crates/mastknot_cli/src/options/command.rs
+++ b/crates/mastknot_cli/src/options/command.rs
@@ -109,6 +109,13 @@
     Drain {
         target: String,
     },
+    DrainHall {
+        reason: String,
+        hall: String,
+    },
+    ReturnHall {
+        hall: String,
+    },
 }
 
 /// One command.
--- a/crates/mastknot_cli/src/options/parse.rs
+++ b/crates/mastknot_cli/src/options/parse.rs
@@ -27,13 +27,13 @@
 
 fn kind() -> impl Parser<String> {
     positional::<String>("KIND").help(
-        "Stored: service, team, profile, configuration; live: jobs, targets, entries, \
-decisions, status",
+        "Stored: service, team, profile, configuration, drained-hall; live: jobs, targets, halls, \
+entries, decisions, status",
     )
 }
 
 fn stored_kind() -> impl Parser<String> {
-    positional::<String>("KIND").help("service, team, profile or configuration")
+    positional::<String>("KIND").help("service, team, profile, configuration or drained-hall")
 }
 
 fn name() -> impl Parser<String> {
@@ -129,6 +129,28 @@
         .command("drain")
 }
 
+fn hall() -> impl Parser<String> {
+    positional::<String>("HALL").help("Name of the hall")
+}
+
+fn drain_hall() -> impl Parser<Command> {
+    let reason = long("reason")
+        .help("Why, for other operators")
+        .argument::<String>("TEXT")
+        .fallback(String::new());
+    let hall = hall();
+    remote(construct!(Action::DrainHall { reason, hall }))
+        .descr("Drain a hall: its targets get no new work, what runs there ends")
+        .command("drain-hall")
+}
+
+fn return_hall() -> impl Parser<Command> {
+    let hall = hall();
+    remote(construct!(Action::ReturnHall { hall }))
+        .descr("Return a drained hall: its targets get work again")
+        .command("return-hall")
+}
+
 fn check() -> impl Parser<Command> {
     let kind = positional::<SettingsKind>("KIND").help("entry or side");
     let file = positional::<PathBuf>("FILE").help("Settings file (TOML)");
@@ -155,9 +177,22 @@
 pub(crate) fn options() -> OptionParser<Command> {
     let (get, apply, delete, watch) = (get(), apply(), delete(), watch());
     let (wait, explain, drain, check, demo) = (wait(), explain(), drain(), check(), demo());
-    construct!([get, apply, delete, watch, wait, explain, drain, check, demo])
-        .to_options()
-        .version(env!("CARGO_PKG_VERSION"))
-        .descr("Operate mastknot, a dispatcher for sub-second tasks")
-        .footer(EXIT_CODES)
+    let (drain_hall, return_hall) = (drain_hall(), return_hall());
+    construct!([
+        get,
+        apply,
+        delete,
+        watch,
+        wait,
+        explain,
+        drain,
+        drain_hall,
+        return_hall,
+        check,
+        demo
+    ])
+    .to_options()
+    .version(env!("CARGO_PKG_VERSION"))
+    .descr("Operate mastknot, a dispatcher for sub-second tasks")
+    .footer(EXIT_CODES)
 }
--- a/crates/mastknot_core/src/config/mod.rs
+++ b/crates/mastknot_core/src/config/mod.rs
@@ -2,12 +2,14 @@
 
 mod config_replica;
 mod config_write;
+mod drained_hall;
 mod profile;
 mod service;
 mod team;
 
 pub use config_replica::{Applied, ConfigReplica};
 pub use config_write::{ConfigWrite, StoredResource, WriteCall, WriteStep};
+pub use drained_hall::{DRAINED_HALL_KIND, DrainedHall};
 pub use profile::Profile;
 pub use service::Service;
 pub use team::Team;
--- a/crates/mastknot_core/src/dispatch/reports.rs
+++ b/crates/mastknot_core/src/dispatch/reports.rs
@@ -208,7 +208,9 @@
             NotRunReason::StaleCredit | NotRunReason::OldIncarnation => {
                 &mut self.counters.retried_stale_credit
             }
-            NotRunReason::Draining => &mut self.counters.retried_draining,
+            NotRunReason::Draining | NotRunReason::HallDrained => {
+                &mut self.counters.retried_draining
+            }
             NotRunReason::TargetRefused | NotRunReason::TargetDeclined => {
                 &mut self.counters.retried_target_refused
             }
--- a/crates/mastknot_core/src/message/side_message.rs
+++ b/crates/mastknot_core/src/message/side_message.rs
@@ -46,6 +46,8 @@
     TargetDeclined,
     /// The task was seen before; it is not started again.
     Duplicate,
+    /// The side's hall is drained. It may come back, unlike a side that is leaving.
+    HallDrained,
 }
 
 /// One task that a side remembers, for rebuilding an answer.
--- a/crates/mastknot_core/src/side/side_core.rs
+++ b/crates/mastknot_core/src/side/side_core.rs
@@ -6,7 +6,7 @@
 use super::entry_view::EntryView;
 use super::start_memory::StartMemory;
 use super::{SideCounters, SideEffect, SideEvent, SideSettings};
-use crate::config::ConfigReplica;
+use crate::config::{ConfigReplica, DRAINED_HALL_KIND};
 use crate::message::{
     Credit, CreditSeq, Demand, EntryMessage, NotRunReason, SideHello, SideMessage, TaskOrder,
     TaskOutcome,
@@ -107,6 +107,12 @@
         self.is_draining
     }
 
+    /// Whether operators have drained the hall that it stands in.
+    pub fn is_hall_drained(&self) -> bool {
+        let hall = self.settings.hall.as_str();
+        self.config.get(DRAINED_HALL_KIND, hall).is_some()
+    }
+
     /// Whether the side has left: it grants nothing, nothing runs, and no credit is out.
     pub fn is_drained(&self) -> bool {
         self.is_draining && self.running.is_empty() && self.credits.len() == 0
@@ -202,7 +208,11 @@
             EntryMessage::Stop { key } => self.stop(key, effects),
             EntryMessage::Config(delta) => {
                 let before = self.config.version();
+                let was_drained = self.is_hall_drained();
                 self.config.apply(&delta);
+                if was_drained && !self.is_hall_drained() {
+                    self.tell_resting(effects);
+                }
                 let version = self.config.version();
                 let message = SideMessage::ConfigInForce { version };
                 if version == before {
@@ -273,6 +283,11 @@
             let reason = NotRunReason::DeadlinePassed;
             return self.refuse(now, entry, task, credit, reason, effects);
         }
+        if self.is_hall_drained() {
+            self.counters.refused_drained_hall += 1;
+            let reason = NotRunReason::HallDrained;
+            return self.refuse(now, entry, task, credit, reason, effects);
+        }
         if !self.runs_service(&order.service) {
             self.counters.refused_unknown_service += 1;
             let reason = NotRunReason::UnknownService;
@@ -365,8 +380,19 @@
         }
     }
 
+    /// Tells all entries what is free: none asks a side of which it knows that it has no slot.
+    fn tell_resting(&mut self, effects: &mut Vec<SideEffect>) {
+        let resting = self.free_slots() as u16;
+        for entry in self.entries.keys() {
+            let entry = entry.clone();
+            let credits = Vec::new();
+            let message = SideMessage::Grant { credits, resting };
+            effects.push(SideEffect::Send { entry, message });
+        }
+    }
+
     fn free_slots(&self) -> usize {
-        if self.is_draining {
+        if self.is_draining || self.is_hall_drained() {
             return 0;
         }
         let taken = self.running.len() + self.credits.len();
--- a/crates/mastknot_core/src/side/side_counters.rs
+++ b/crates/mastknot_core/src/side/side_counters.rs
@@ -17,6 +17,8 @@
     pub refused_stale_credit: u64,
     /// Starts refused because the deadline had passed.
     pub refused_deadline: u64,
+    /// Starts refused because the side's hall is drained.
+    pub refused_drained_hall: u64,
     /// Starts refused for an unknown service.
     pub refused_unknown_service: u64,
     /// Start messages seen twice and dropped.
--- a/crates/mastknot_entry/src/operators/resource.rs
+++ b/crates/mastknot_entry/src/operators/resource.rs
@@ -1,11 +1,17 @@
-use mastknot_core::config::{Profile, Service, Team};
+use mastknot_core::config::{DRAINED_HALL_KIND, DrainedHall, Profile, Service, Team};
 use mastknot_core::message::ConfigItem;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use snafu::{OptionExt, ResultExt, Snafu};
 
 /// The kinds of stored resources.
-pub(crate) const KINDS: [&str; 4] = ["service", "team", "profile", "configuration"];
+pub(crate) const KINDS: [&str; 5] = [
+    "service",
+    "team",
+    "profile",
+    "configuration",
+    DRAINED_HALL_KIND,
+];
 /// The longest name of a resource.
 const MAX_NAME: usize = 128;
 /// The longest value of a resource as JSON, well below the store's limit of one megabyte.
@@ -98,6 +104,7 @@
         "service" => check_service(value),
         "team" => check_team(value),
         "profile" => check_profile(value),
+        DRAINED_HALL_KIND => check_drained_hall(value),
         _ => Ok(()),
     }
 }
@@ -123,6 +130,12 @@
     )
 }
 
+fn check_drained_hall(value: &Value) -> Result<(), BadResource> {
+    DrainedHall::deserialize(value)
+        .map(|_| ())
+        .context(FieldsSnafu)
+}
+
 fn check_team(value: &Value) -> Result<(), BadResource> {
     let team = Team::deserialize(value).context(FieldsSnafu)?;
     check(
--- a/crates/mastknot_side/src/actor/side_actor.rs
+++ b/crates/mastknot_side/src/actor/side_actor.rs
@@ -121,6 +121,8 @@
     pub(crate) config_version: u64,
     pub(crate) running: usize,
     pub(crate) is_draining: bool,
+    /// Whether operators have drained its hall.
+    pub(crate) is_hall_drained: bool,
     pub(crate) entries: usize,
     pub(crate) counters: SideCounters,
 }
@@ -190,6 +192,7 @@
             config_version: core.config().version(),
             running: core.running(),
             is_draining: core.is_draining(),
+            is_hall_drained: core.is_hall_drained(),
             entries: self.links.len(),
             counters: core.counters(),
         }
