fix(runtime): a lease is renewed while the own key waits to be written again

Cause (found by reading the change): the pause before a rewrite, up to 60 s, held up the renewal of the 6 s lease: against a persistent other writer an entry lost its listing. Change: renewals and rewrites run beside each other; the long function is split. Test: renewals in 200 s against a writer each 100 ms, 0 before, at least 95 now. Ruled out: nothing else waits there.

--- a/crates/mastknot_runtime/src/shared_store/own_listing.rs
+++ b/crates/mastknot_runtime/src/shared_store/own_listing.rs
@@ -18,53 +18,82 @@
 pub(super) async fn keep_listed<S: SharedStore, V>(
     store: &S,
     settings: &DirectorySettings<V>,
-    mut overwritten: watch::Receiver<Option<u64>>,
+    overwritten: watch::Receiver<Option<u64>>,
 ) {
     let (Some(own), Some(key)) = (&settings.own, settings.own_key()) else {
         return;
     };
-    let mut rewrite_pause = FIRST_REWRITE_PAUSE;
+    let mut rewriting = Rewriting {
+        store,
+        key: &key,
+        own,
+        overwritten,
+        pause: FIRST_REWRITE_PAUSE,
+    };
     loop {
-        let lease = match list_self(store, settings, &key, own).await {
-            Ok(lease) => lease,
-            Err(_) => {
-                sleep(settings.retry_pause).await;
-                continue;
-            }
+        let Ok(lease) = list_self(store, settings, &key, own).await else {
+            sleep(settings.retry_pause).await;
+            continue;
         };
         info!(key = key.as_str(), lease = lease.id; "listed in the store");
-        overwritten.mark_unchanged();
+        rewriting.overwritten.mark_unchanged();
+        // The lease is renewed also while a rewrite waits: its pause may be longer than the lease.
+        tokio::select! {
+            () = renew_while_valid(store, settings, lease) => {}
+            () = rewriting.run(lease) => {}
+        }
+        warn!(key = key.as_str(); "the lease at the store is over");
+    }
+}
+
+/// Writes the own key again where another writer has changed or removed it.
+struct Rewriting<'a, S> {
+    store: &'a S,
+    key: &'a str,
+    own: &'a OwnEntry,
+    overwritten: watch::Receiver<Option<u64>>,
+    pause: Duration,
+}
+
+impl<S: SharedStore> Rewriting<'_, S> {
+    /// Goes on until the lease is over.
+    async fn run(&mut self, lease: SharedLease) {
         loop {
-            tokio::select! {
-                () = renew_while_valid(store, settings, lease) => break,
-                changed = overwritten.changed() => {
-                    if changed.is_err() {
-                        return;
-                    }
-                }
+            if self.overwritten.changed().await.is_err() {
+                // Nobody looks at the directory any more: the process ends.
+                return std::future::pending().await;
             }
-            if overwritten.borrow_and_update().is_none() {
+            if self.overwritten.borrow_and_update().is_none() {
                 continue;
             }
-            sleep(rewrite_pause).await;
+            sleep(self.pause).await;
             // What was written last meanwhile is what is replaced.
-            let Some(revision) = *overwritten.borrow_and_update() else {
+            let Some(revision) = *self.overwritten.borrow_and_update() else {
                 continue;
             };
-            warn!(key = key.as_str(), revision; "the own key in the store was changed by another writer");
-            rewrite_pause = (rewrite_pause * 2).min(LONGEST_REWRITE_PAUSE);
-            let written = store
-                .write_leased(&key, own.value.as_bytes(), lease, Some(revision))
-                .await;
-            match written {
-                Ok(SharedWrite::Done) => info!(key = key.as_str(); "the own key is as it was"),
+            if self.write(lease, revision).await == Some(SharedWrite::LeaseOver) {
+                return;
+            }
+        }
+    }
+
+    async fn write(&mut self, lease: SharedLease, revision: u64) -> Option<SharedWrite> {
+        let key = self.key;
+        warn!(key, revision; "the own key in the store was changed by another writer");
+        self.pause = (self.pause * 2).min(LONGEST_REWRITE_PAUSE);
+        let value = self.own.value.as_bytes();
+        let written = self.store.write_leased(key, value, lease, Some(revision));
+        match written.await {
+            Ok(written) => {
                 // What has come in between is seen by the next look at the directory.
-                Ok(SharedWrite::Changed) => {}
-                Ok(SharedWrite::LeaseOver) => break,
-                Err(error) => warn!(key = key.as_str(), error:%; "the own key was not written"),
+                info!(key, written:?; "the own key was written again");
+                Some(written)
+            }
+            Err(error) => {
+                warn!(key, error:%; "the own key was not written");
+                None
             }
         }
-        warn!(key = key.as_str(); "the lease at the store is over");
     }
 }
 
--- a/crates/mastknot_runtime/tests/directory.rs
+++ b/crates/mastknot_runtime/tests/directory.rs
@@ -25,6 +25,7 @@
     is_watch_silent: bool,
     /// How often the process under test has written.
     own_writes: usize,
+    renewals: usize,
     revision: u64,
     items: BTreeMap<String, Vec<u8>>,
     changes: Vec<SharedItem>,
@@ -120,6 +121,7 @@
     }
 
     async fn renew(&self, _: SharedLease) -> Result<bool, SharedStoreError> {
+        self.0.lock().unwrap().renewals += 1;
         self.check().map(|()| true)
     }
 
@@ -293,4 +295,7 @@
     }
     let writes = store.0.lock().unwrap().own_writes;
     assert!((5..=16).contains(&writes), "{writes} writes in 200 s");
+    // The lease of 6 s is renewed each 2 s, however long a rewrite waits; not once in 200 s when a rewrite held it up.
+    let renewals = store.0.lock().unwrap().renewals;
+    assert!(renewals >= 95, "{renewals} renewals in 200 s");
 }
