fix(agent): a life of a target is named by its id and its start

Cause: targets may start again under the name that they had. By name alone the reports of a new life, whose numbers start anew, were late ones of the old (the target stood idle for as long as the old life had lasted), its first ends counted as noted, holds went by the old clock, and its token by the new one, which an old order could keep out for as long. Change: a life is its name and the time of its start, in heartbeats, lists of runs, words of leaving, what the store remembers, reports and crashes. A look that is answered by another life ends the known one; what the new one may have taken the order of is stopped and not called over; its first look has a higher token than any before; a fence above the clock is passed by doubling; while it may hold runs for longer than it was asked to, nothing is started there.

--- a/crates/mastknot_core/src/agent/agent_decision.rs
+++ b/crates/mastknot_core/src/agent/agent_decision.rs
@@ -88,6 +88,13 @@
         /// Runs that go on.
         runs: usize,
     },
+    /// The next life of a target answers under the name of the known one.
+    Reborn {
+        /// The life that is over.
+        target: TargetId,
+        /// Runs of which the next life may have taken the order: they are stopped.
+        stopped: usize,
+    },
     /// A life of the target has ended by a crash.
     TargetCrashed(TargetCrash),
     /// A new fencing token is in use.
--- a/crates/mastknot_core/src/agent/agent_event.rs
+++ b/crates/mastknot_core/src/agent/agent_event.rs
@@ -93,6 +93,8 @@
 pub struct TargetView {
     /// The target's clock in milliseconds.
     pub clock_ms: u64,
+    /// When the life that answered started, in Unix milliseconds; 0 if it does not say.
+    pub born_ms: u64,
     /// What runs.
     pub running: Vec<TargetRunning>,
     /// What has ended since the last noted end.
--- a/crates/mastknot_core/src/agent/looks.rs
+++ b/crates/mastknot_core/src/agent/looks.rs
@@ -66,11 +66,19 @@
         }
         let number = self.next_look;
         self.next_look += 1;
-        self.look = Some(LookInFlight { number, sent: now });
+        let token = self.link.order_token();
         let is_held = self.link.token.is_some()
             && self.survivors.is_empty()
             && self.link.is_settled
+            // The next life would hold its runs by the clock of this one.
+            && self.lives.other.is_none()
             && !self.owners.is_empty();
+        self.look = Some(LookInFlight {
+            number,
+            sent: now,
+            token,
+            is_held,
+        });
         let wait = self.look_wait();
         let hold_until_ms = is_held.then(|| self.hold_until(now));
         if let Some(until) = hold_until_ms {
@@ -79,7 +87,7 @@
         self.effects.push(AgentEffect::Look {
             number,
             hold_until_ms,
-            token: self.link.token.unwrap_or_default(),
+            token,
             last_seen: self.link.last_seen,
             wait,
             target: self.target_id(),
@@ -116,11 +124,11 @@
         self.look = None;
         self.look_not_before = now;
         match result {
-            Ok(view) => self.viewed(now, look.sent, view),
-            Err(LookFailure::Fenced { clock_ms }) => self.take_token(now, clock_ms),
+            Ok(view) => self.viewed(now, look, view),
+            Err(LookFailure::Fenced { clock_ms }) => self.pass_fence(now, look.token, clock_ms),
             Err(LookFailure::OtherInstance) => self.instance_replaced(now, EndOfLife::Crashed),
             Err(LookFailure::Refused) => {
-                self.instance_over(now, EndOfLife::Crashed);
+                self.target_refused(now, look.sent);
                 self.link.failed_looks = ABSENT_AFTER;
                 self.look_not_before = now + REFUSED_LOOK_PAUSE;
             }
@@ -143,7 +151,8 @@
     /// When a silent target has killed everything.
     pub(super) fn silence_due(&self) -> Option<Moment> {
         let is_silent = self.link.failed_looks >= ABSENT_AFTER && !self.runs.is_empty();
-        is_silent.then(|| self.link.hold_ends()).flatten()
+        let ends = self.link.hold_ends().or(self.link.unclear_until);
+        is_silent.then_some(ends).flatten()
     }
 }
 
--- a/crates/mastknot_core/src/agent/mod.rs
+++ b/crates/mastknot_core/src/agent/mod.rs
@@ -22,6 +22,7 @@
 mod order_answers;
 mod orders;
 mod owners;
+mod rebirths;
 mod reporting;
 mod run_table;
 mod run_views;
--- a/crates/mastknot_core/src/agent/order_answers.rs
+++ b/crates/mastknot_core/src/agent/order_answers.rs
@@ -33,7 +33,14 @@
     }
 
     fn order_started(&mut self, now: Moment, id: RunId, clock_ms: u64) {
-        self.link.read_clock(now, clock_ms);
+        let ordered = self.runs.get(&id).map(|run| run.since);
+        if ordered.is_some_and(|ordered| self.link.is_clock_anew(ordered, clock_ms)) {
+            // An answer does not say which life gives it; only a look can tell.
+            self.look = None;
+            self.look_not_before = now;
+        } else {
+            self.link.read_clock(now, clock_ms);
+        }
         if let Some(run) = self.runs.get_mut(&id)
             && matches!(run.phase, RunPhase::Ordered | RunPhase::Unconfirmed { .. })
         {
--- a/crates/mastknot_core/src/agent/orders.rs
+++ b/crates/mastknot_core/src/agent/orders.rs
@@ -65,7 +65,7 @@
             run: start.run,
             payload: start.payload,
             hold_until_ms,
-            token: self.link.token.unwrap_or_default(),
+            token: self.link.order_token(),
             target: self.target_id(),
             limit: self.answers.limit(),
         });
@@ -169,7 +169,7 @@
     }
 
     pub(super) fn send_stop(&mut self, run: RunId) {
-        let token = self.link.token.unwrap_or_default();
+        let token = self.link.order_token();
         let limit = self.answers.limit();
         self.effects
             .push(AgentEffect::StopRun { run, token, limit });
--- a/crates/mastknot_core/src/agent/run_views.rs
+++ b/crates/mastknot_core/src/agent/run_views.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use super::target_agent::TargetAgent;
+use super::target_agent::{LookInFlight, TargetAgent};
 use super::target_pace::SHORTEST_STRETCH;
 use super::{AgentDecision, HowEnded, RunPhase, TargetFinished, TargetRunning, TargetView};
 use crate::job::{EndOfRun, EndedRun, NotRunCause, RunId};
@@ -17,8 +17,15 @@
 const MAX_ORPHANED_ENDS: usize = 2_000;
 
 impl TargetAgent {
-    pub(super) fn viewed(&mut self, now: Moment, sent: Moment, view: TargetView) {
+    pub(super) fn viewed(&mut self, now: Moment, look: LookInFlight, view: TargetView) {
+        if self.is_other_birth(view.born_ms) {
+            self.reborn(now, look, &view);
+            return;
+        }
+        let sent = look.sent;
         self.link.read_clock(now, view.clock_ms);
+        self.link.viewed = sent;
+        self.note_birth(view.born_ms);
         if let Some(target) = self.lives.known_answered(sent) {
             self.decided(AgentDecision::LateReport { target });
         }
@@ -39,8 +46,14 @@
     /// Takes the target's clock as the fencing token: it rises over restarts of this process.
     pub(super) fn take_token(&mut self, now: Moment, clock_ms: u64) {
         self.link.read_clock(now, clock_ms);
-        let token = clock_ms.max(1);
-        self.link.token = Some(self.link.token.map_or(token, |old| old.max(token)));
+        self.link.raise_token(clock_ms);
+        self.look_not_before = now;
+    }
+
+    /// Takes a token that passes the fence which refused `refused`.
+    pub(super) fn pass_fence(&mut self, now: Moment, refused: u64, clock_ms: u64) {
+        self.link.read_clock(now, clock_ms);
+        self.link.pass_fence(refused, clock_ms);
         self.look_not_before = now;
     }
 
--- a/crates/mastknot_core/src/agent/target_agent.rs
+++ b/crates/mastknot_core/src/agent/target_agent.rs
@@ -34,6 +34,9 @@
 pub(super) struct LookInFlight {
     pub(super) number: u64,
     pub(super) sent: Moment,
+    pub(super) token: u64,
+    /// Whether it asks the target to hold its runs.
+    pub(super) is_held: bool,
 }
 
 /// The core of a side: it alone gives orders to its target.
@@ -358,6 +361,7 @@
                 .then(|| self.started.unwrap_or_default() + self.settings.settle_limit),
             self.silence_due(),
             self.is_cold.then_some(self.link.cold_until),
+            (self.link.overlong_until > self.handled).then_some(self.link.overlong_until),
             self.offers_end(),
             self.relay_due(),
         ];
--- a/crates/mastknot_core/src/agent/target_condition.rs
+++ b/crates/mastknot_core/src/agent/target_condition.rs
@@ -47,6 +47,7 @@
             && self.link.token.is_some()
             && self.link.failed_looks < ABSENT_AFTER
             && self.unconfirmed_runs() < ABSENT_AFTER as usize
+            && now >= self.link.overlong_until
             && self.survivors.is_empty();
         if !is_present {
             return TargetCondition::Absent;
--- a/crates/mastknot_core/src/agent/target_link.rs
+++ b/crates/mastknot_core/src/agent/target_link.rs
@@ -16,14 +16,24 @@
     pub(crate) is_draining: bool,
     /// Until when it is slower than usual.
     pub(crate) cold_until: Moment,
+    /// When the life started that answers looks, in Unix milliseconds; 0 if that is not known.
+    pub(crate) born_ms: u64,
     /// The fencing token, once the target's clock has been read.
     pub(crate) token: Option<u64>,
+    /// Above every token that was used with earlier lives.
+    token_floor: u64,
     /// The highest end that has been noted.
     pub(crate) last_seen: u64,
     /// Looks that failed in a row.
     pub(crate) failed_looks: u32,
     /// The last time anything was heard.
     pub(crate) heard: Moment,
+    /// When the last look was sent that this life has answered.
+    pub(crate) viewed: Moment,
+    /// Then all is over of which the next life may have taken the order before it has been looked at.
+    pub(crate) unclear_until: Option<Moment>,
+    /// Until then the target may hold runs for longer than it was asked to.
+    pub(crate) overlong_until: Moment,
     /// Whether runs of an earlier life have been listed, or there can't be any.
     pub(crate) is_settled: bool,
     clock: Option<ClockReading>,
@@ -45,6 +55,11 @@
 /// Without a reading for this long nothing is started: the process or its VM stood still.
 const CLOCK_STALE: Duration = Duration::from_secs(3);
 
+/// A refused token grows by this factor until it passes the fence.
+const FENCE_GROWTH: u64 = 2;
+/// Two readings of a clock may differ by so many milliseconds through rounding.
+const CLOCK_ROUNDING_MS: u64 = 2;
+
 impl TargetLink {
     /// Takes a reading of the target's clock.
     pub(crate) fn read_clock(&mut self, now: Moment, clock_ms: u64) {
@@ -81,21 +96,53 @@
         self.longest_hold_ms = self.longest_hold_ms.max(until_ms);
     }
 
+    /// How long the target may hold runs that it holds for `time` by its own clock.
+    pub(crate) fn held_for(time: Duration) -> Duration {
+        time.mul_f64(SLOW_CLOCK)
+    }
+
     /// The moment at which the target has killed everything unless it is renewed.
     pub(crate) fn hold_ends(&self) -> Option<Moment> {
         let reading = self.clock?;
         let left = self.longest_hold_ms.saturating_sub(reading.clock_ms);
-        Some(reading.at + Duration::from_millis(left).mul_f64(SLOW_CLOCK))
+        Some(reading.at + Self::held_for(Duration::from_millis(left)))
     }
 
-    /// Forgets a life of the target; the next one starts with no token and no ends.
+    /// Forgets a life of the target; the next one starts with no ends. Its token is above those before: under the same
+    /// name it would carry out late orders that were meant for the life before.
     pub(crate) fn forget_instance(&mut self) {
-        let heard = self.heard;
+        let token_floor = self.token.map_or(self.token_floor, |token| token + 1);
         *self = Self {
-            heard,
+            token_floor,
+            heard: self.heard,
             is_settled: true,
             has_lost_instance: true,
             ..Self::default()
         };
     }
+
+    /// The token for the next order.
+    pub(crate) fn order_token(&self) -> u64 {
+        self.token.unwrap_or(self.token_floor)
+    }
+
+    /// Takes a value of the target's clock as the token; tokens never fall.
+    pub(crate) fn raise_token(&mut self, clock_ms: u64) {
+        let token = clock_ms.max(1).max(self.order_token());
+        self.token = Some(token);
+    }
+
+    /// A higher token than `refused` was there. If that is one by the clock of an earlier life, which was far ahead, this
+    /// life's clock would not get there for as long as the earlier one has lived.
+    pub(crate) fn pass_fence(&mut self, refused: u64, clock_ms: u64) {
+        self.raise_token(clock_ms);
+        let grown = refused.saturating_mul(FENCE_GROWTH);
+        self.token = Some(self.order_token().max(grown));
+    }
+
+    /// Whether a value of the target's clock, read after `asked`, can't come from the life whose clock is known.
+    pub(crate) fn is_clock_anew(&self, asked: Moment, clock_ms: u64) -> bool {
+        let least = self.clock_at(asked);
+        least.is_some_and(|least| clock_ms + CLOCK_ROUNDING_MS < least)
+    }
 }
--- a/crates/mastknot_core/src/agent/target_reports.rs
+++ b/crates/mastknot_core/src/agent/target_reports.rs
@@ -3,7 +3,7 @@
 use super::looks::ABSENT_AFTER;
 use super::target_agent::TargetAgent;
 use super::{AgentDecision, AgentEffect, SessionId, TargetReport};
-use crate::job::{CrashedRun, EndOfRun, SideReport, TargetCrash, TargetId, TargetProfile};
+use crate::job::{CrashedRun, EndOfRun, RunId, SideReport, TargetCrash, TargetId, TargetProfile};
 use crate::types::Moment;
 
 /// The most runs of one crash that entries are told of, the youngest: a crash by a task comes soon after its start.
@@ -29,11 +29,17 @@
 
     /// The target's life is over: nothing of it runs any more.
     pub(super) fn instance_over(&mut self, now: Moment, end: EndOfLife) {
+        let runs = self.runs.ids();
+        self.instance_over_with(now, end, &runs);
+    }
+
+    /// The target's life is over, and these runs with it.
+    pub(super) fn instance_over_with(&mut self, now: Moment, end: EndOfLife, runs: &[RunId]) {
         // A target that is leaving ends without a further word if its last one is lost.
         let has_crashed = end == EndOfLife::Crashed && !self.link.is_draining;
         let end_of_runs = match has_crashed {
             true => {
-                self.note_crash(now);
+                self.note_crash(now, runs);
                 EndOfRun::Crashed
             }
             false => EndOfRun::Lost,
@@ -45,7 +51,9 @@
         self.look = None;
         self.look_not_before = now;
         self.survivors.clear();
-        self.end_all(now, end_of_runs);
+        for run in runs {
+            self.end_run(now, *run, end_of_runs);
+        }
         self.take_other_life(now);
     }
 
@@ -53,21 +61,18 @@
     /// shows when it is heard again.
     pub(super) fn lose_all(&mut self, now: Moment) {
         let silent_since = self.link.heard;
-        let lost = self.crashed_runs(silent_since);
+        let runs = self.runs.ids();
+        let lost = self.crashed_runs(silent_since, &runs);
         // What was ordered after the last word may have come to a target that was dead.
         let lost = lost.into_iter().filter(|crashed| crashed.has_begun);
         self.lives.lost_in_silence.extend(lost);
-        self.end_all(now, EndOfRun::Lost);
-    }
-
-    fn end_all(&mut self, now: Moment, end: EndOfRun) {
-        for run in self.runs.ids() {
-            self.end_run(now, run, end);
+        for run in runs {
+            self.end_run(now, run, EndOfRun::Lost);
         }
     }
 
     /// Notes what ran on a target that has crashed.
-    fn note_crash(&mut self, now: Moment) {
+    fn note_crash(&mut self, now: Moment, ended: &[RunId]) {
         let Some(target) = self.target_id() else {
             return;
         };
@@ -75,7 +80,7 @@
         // A target that has been silent crashed some time after its last word; one that resets connections, now.
         let was_silent = self.link.failed_looks >= ABSENT_AFTER;
         let crashed = if was_silent { self.link.heard } else { now };
-        runs.extend(self.crashed_runs(crashed));
+        runs.extend(self.crashed_runs(crashed, ended));
         runs.sort_by_key(|crashed| crashed.ran_ms);
         runs.truncate(MAX_NAMED);
         let ago_ms = 0;
@@ -100,12 +105,15 @@
         }
     }
 
-    /// What runs now and how long it had run when the target crashed.
-    fn crashed_runs(&self, crashed: Moment) -> Vec<CrashedRun> {
-        let runs = self.runs.iter().map(|(run, state)| CrashedRun {
-            run: *run,
-            ran_ms: crashed.since(state.since).as_millis() as u32,
-            has_begun: state.has_begun(),
+    /// How long these runs had run when the target crashed.
+    fn crashed_runs(&self, crashed: Moment, ended: &[RunId]) -> Vec<CrashedRun> {
+        let runs = ended.iter().filter_map(|run| {
+            let state = self.runs.get(run)?;
+            Some(CrashedRun {
+                run: *run,
+                ran_ms: crashed.since(state.since).as_millis() as u32,
+                has_begun: state.has_begun(),
+            })
         });
         runs.collect()
     }
@@ -114,10 +122,14 @@
     /// the target, asked at once for the known life, says so.
     pub(super) fn target_reported(&mut self, now: Moment, report: TargetReport) {
         let target = report.profile.id.clone();
-        if self.lives.has_ended(&target) {
+        if self.lives.has_ended(&target) || self.is_earlier_life(&target) {
             self.decided(AgentDecision::LateReport { target });
             return;
         }
+        if self.target_id().is_none() && self.is_other_birth(target.born_ms) {
+            // The life that has answered so far has not reported; this one began after it.
+            self.instance_over(now, EndOfLife::Crashed);
+        }
         if self.target_id().is_some_and(|known| known != target) {
             self.lives.note_other(now, report);
             // The look that is under way may wait for long.
@@ -162,14 +174,23 @@
     /// A profile from before is good for the life of the target that said it: orders and looks
     /// name that life, and another one refuses them.
     pub(super) fn target_remembered(&mut self, profile: TargetProfile) {
-        if self.link.profile.is_none() && !self.link.has_lost_instance {
+        let is_other = self.is_other_birth(profile.id.born_ms);
+        if self.link.profile.is_none() && !self.link.has_lost_instance && !is_other {
             self.link.profile = Some(profile);
         }
     }
 
+    /// The target says that it leaves. A word that does not say which life it comes from may be one of an earlier life:
+    /// the target is asked.
     pub(super) fn target_left(&mut self, now: Moment, target: &TargetId) {
-        if self.target_id().as_ref() == Some(target) {
+        let Some(known) = self.target_id() else {
+            return;
+        };
+        if known == *target {
             self.instance_replaced(now, EndOfLife::Left);
+        } else if known.name == target.name && target.born_ms == 0 {
+            self.look = None;
+            self.look_not_before = now;
         }
     }
 }
--- a/crates/mastknot_core/tests/agent.rs
+++ b/crates/mastknot_core/tests/agent.rs
@@ -109,6 +109,7 @@
     let number = look_number(&effects).expect("a look");
     let view = TargetView {
         clock_ms: 2_054,
+        born_ms: 0,
         ..TargetView::default()
     };
     let effects = side.step(
--- a/crates/mastknot_core/tests/common/entry.rs
+++ b/crates/mastknot_core/tests/common/entry.rs
@@ -37,7 +37,7 @@
 /// What the target of a side says of itself.
 pub fn target_profile(side: u64) -> TargetProfile {
     TargetProfile {
-        id: TargetId(Arc::from(format!("target-{side}"))),
+        id: TargetId::named(format!("target-{side}")),
         service: Arc::from("service"),
         capacity: target_room(16_000),
         labels: Vec::new(),
--- a/crates/mastknot_core/tests/common/side.rs
+++ b/crates/mastknot_core/tests/common/side.rs
@@ -39,7 +39,7 @@
 
 pub fn profile() -> TargetProfile {
     TargetProfile {
-        id: TargetId(Arc::from("target-1")),
+        id: TargetId::named("target-1"),
         service: Arc::from("service"),
         capacity: Room {
             cpu_millis: 4_000,
@@ -54,7 +54,7 @@
 pub fn report(target: &str, number: u64) -> TargetReport {
     TargetReport {
         profile: TargetProfile {
-            id: TargetId(Arc::from(target)),
+            id: TargetId::named(target),
             ..profile()
         },
         is_draining: false,
@@ -87,12 +87,17 @@
 }
 
 impl Side {
-    /// A side whose target is known and free, linked to one entry at 1,000 ms.
-    pub fn ready() -> Self {
+    /// A side that has just started.
+    pub fn unknown() -> Self {
         let settings = AgentSettings::new("side-1".into(), Incarnation(1), "hall".into());
-        let mut side = Self {
+        Self {
             agent: TargetAgent::new(settings),
-        };
+        }
+    }
+
+    /// A side whose target is known and free, linked to one entry at 1,000 ms.
+    pub fn ready() -> Self {
+        let mut side = Self::unknown();
         let effects = side.step(0, AgentEvent::Tick);
         let effects = side.answer_look(1, &effects, 1_000, Vec::new());
         side.answer_look(3, &effects, 1_002, Vec::new());
@@ -131,6 +136,7 @@
         let number = look_number(effects).expect("a look is under way");
         let view = TargetView {
             clock_ms,
+            born_ms: 0,
             running: Vec::new(),
             finished,
         };
--- a/crates/mastknot_core/tests/crash_suspects.rs
+++ b/crates/mastknot_core/tests/crash_suspects.rs
@@ -34,7 +34,7 @@
         has_begun: true,
     });
     TargetCrash {
-        target: TargetId(Arc::from(target)),
+        target: TargetId::named(target),
         ago_ms: 0,
         was_silent: false,
         runs: runs.collect(),
--- a/crates/mastknot_core/tests/target_crashes.rs
+++ b/crates/mastknot_core/tests/target_crashes.rs
@@ -54,7 +54,7 @@
     let effects = looked(&mut side, 1_041, number, LookFailure::Refused);
     assert_eq!(ends(&effects), [EndOfRun::Crashed, EndOfRun::Crashed]);
     let crash = TargetCrash {
-        target: TargetId("target-1".into()),
+        target: TargetId::named("target-1"),
         ago_ms: 0,
         was_silent: false,
         runs: vec![crashed(2, 10), crashed(1, 40)],
@@ -73,7 +73,7 @@
 #[test]
 fn a_target_that_leaves_has_not_crashed() {
     let (mut side, _) = busy();
-    let target = TargetId("target-1".into());
+    let target = TargetId::named("target-1");
     let effects = side.step(1_041, AgentEvent::TargetLeft { target });
     assert_eq!(ends(&effects), [EndOfRun::Lost, EndOfRun::Lost]);
     assert_eq!(crashes(&effects), []);
@@ -123,7 +123,7 @@
         seen = crashes(&effects);
     }
     let crash = seen.first().expect("the known life is over");
-    assert_eq!(crash.target, TargetId("target-1".into()));
+    assert_eq!(crash.target, TargetId::named("target-1"));
     // It was last heard at 1,032 ms: nothing says how long the runs went on after that.
     assert_eq!(crash.runs, [crashed(2, 1), crashed(1, 31)]);
 }
--- a/crates/mastknot_core/tests/target_lives.rs
+++ b/crates/mastknot_core/tests/target_lives.rs
@@ -17,7 +17,7 @@
 
 fn target_name(side: &Side) -> String {
     let target = side.agent.target().expect("a target is known");
-    target.id.0.to_string()
+    target.id.name.to_string()
 }
 
 /// Answers the look under way: the life that it asks for is there and runs this.
@@ -29,6 +29,7 @@
     });
     let result = Ok(TargetView {
         clock_ms: 1_000 + ms,
+        born_ms: 0,
         running: running.collect(),
         finished: Vec::new(),
     });
--- a/crates/mastknot_core/tests/target_pace.rs
+++ b/crates/mastknot_core/tests/target_pace.rs
@@ -34,6 +34,7 @@
     );
     let view = TargetView {
         clock_ms: 2_061,
+        born_ms: 0,
         running: vec![TargetRunning {
             run: run(1),
             percent,
--- a/crates/mastknot_side/src/agent/agent_logs.rs
+++ b/crates/mastknot_side/src/agent/agent_logs.rs
@@ -2,7 +2,7 @@
 
 use log::{debug, info, warn};
 use mastknot_core::agent::AgentDecision;
-use mastknot_core::job::{CrashedRun, EndOfRun, TargetCrash};
+use mastknot_core::job::{CrashedRun, EndOfRun, TargetCrash, TargetId};
 
 /// The target of decision lines, by which they can be filtered.
 const DECISION: &str = "decision";
@@ -39,7 +39,7 @@
         } => debug!(target: DECISION, entry:%, cpu_millis, rank, needed_cpu_millis;
             "room_offered"),
         AgentDecision::Condition { target, condition } => {
-            let target_id = target.as_ref().map_or("", |target| &target.0);
+            let target_id = target.as_ref().map(TargetId::to_string).unwrap_or_default();
             info!(target: DECISION, target_id, condition:?; "target_condition");
         }
         AgentDecision::HallDrained {
@@ -52,10 +52,13 @@
             info!(target: DECISION, token, survivors; "fencing_token");
         }
         AgentDecision::LateReport { target } => {
-            warn!(target: DECISION, target_id = target.0.as_ref(); "late_target_report");
+            warn!(target: DECISION, target_id:% = target; "late_target_report");
         }
         AgentDecision::OtherLife { target } => {
-            info!(target: DECISION, target_id = target.0.as_ref(); "other_target_life");
+            info!(target: DECISION, target_id:% = target; "other_target_life");
+        }
+        AgentDecision::Reborn { target, stopped } => {
+            warn!(target: DECISION, target_id:% = target, stopped; "target_reborn");
         }
         AgentDecision::LookFailed { in_a_row } => {
             warn!(target: DECISION, in_a_row; "look_failed");
@@ -72,11 +75,11 @@
 
 fn log_crash(crash: &TargetCrash) {
     let was_silent = crash.was_silent;
-    let target_id = crash.target.0.as_ref();
+    let target_id = &crash.target;
     let runs = crash.runs.len();
     let name = |crashed: &CrashedRun| format!("{} after {} ms", crashed.run, crashed.ran_ms);
     let youngest = crash.runs.iter().take(MAX_NAMED).map(name);
     let youngest = youngest.collect::<Vec<_>>().join(", ");
-    warn!(target: DECISION, target_id, was_silent, runs, youngest = youngest.as_str();
+    warn!(target: DECISION, target_id:%, was_silent, runs, youngest = youngest.as_str();
         "target_crashed");
 }
--- a/crates/mastknot_side/src/agent/agent_metrics.rs
+++ b/crates/mastknot_side/src/agent/agent_metrics.rs
@@ -88,6 +88,7 @@
         AgentDecision::Token { .. } => "fencing_token",
         AgentDecision::LateReport { .. } => "late_target_report",
         AgentDecision::OtherLife { .. } => "other_target_life",
+        AgentDecision::Reborn { .. } => "target_reborn",
         AgentDecision::LookFailed { .. } => "look_failed",
     }
 }
--- a/crates/mastknot_virtual/src/jobs/act.rs
+++ b/crates/mastknot_virtual/src/jobs/act.rs
@@ -52,6 +52,7 @@
     TargetStart {
         side: usize,
         life: u64,
+        lives: u64,
         start: Box<VirtualStart>,
         is_answered: bool,
     },
--- a/crates/mastknot_virtual/src/jobs/job_faults.rs
+++ b/crates/mastknot_virtual/src/jobs/job_faults.rs
@@ -99,6 +99,13 @@
         /// Whether it is silent meanwhile, in place of refusing connections.
         is_dark: bool,
     },
+    /// What a target reports of itself is held up, and arrives when this is over.
+    HoldReports {
+        /// The target's side.
+        side: usize,
+        /// For how long.
+        time: Duration,
+    },
     /// A target has less room, or more, for a while; what runs goes on.
     Resize {
         /// The target's side.
--- a/crates/mastknot_virtual/src/jobs/job_system.rs
+++ b/crates/mastknot_virtual/src/jobs/job_system.rs
@@ -16,6 +16,7 @@
 use super::node::Node;
 use super::target_slot::TargetSlot;
 use super::thin_links::{LinkRecord, Pipe};
+use super::variants::NamesKept;
 use super::virtual_target::TargetMood;
 use super::{JobAudit, JobFaultPlan, StepRecord, TaskCrash};
 use crate::system::Schedule;
@@ -36,6 +37,8 @@
 pub(super) const MAX_TRIES: u32 = 3;
 /// Sides and targets stand in so many halls in turn.
 pub(super) const HALLS: usize = 3;
+/// How long targets hold their runs at most, as a rule.
+const LONGEST_HOLD: Duration = Duration::from_secs(1);
 /// A millisecond in microseconds.
 pub(super) const MILLI: u64 = 1_000;
 
@@ -107,6 +110,10 @@
     pub(super) has_steady_clocks: bool,
     /// Whether the sides hear only of the room that targets have at first.
     pub(super) hides_resizes: bool,
+    /// Whether targets start again under the names that they had.
+    pub(super) names_kept: NamesKept,
+    /// The longest time for which targets hold their runs.
+    pub(super) longest_hold: Duration,
     /// Whether targets start what does not fit.
     pub(super) has_unguarded_targets: bool,
     /// Tasks that every target runs as if it were in this mood.
@@ -159,6 +166,8 @@
             unanswered: BTreeSet::new(),
             has_steady_clocks: false,
             hides_resizes: false,
+            names_kept: NamesKept::None,
+            longest_hold: LONGEST_HOLD,
             has_unguarded_targets: false,
             task_moods: HashMap::new(),
             crashing: HashMap::new(),
@@ -184,6 +193,9 @@
                 calls: 0,
                 open_look: None,
                 due_at: None,
+                reports_held_until: 0,
+                newest_number: 0,
+                births: 0,
             });
         }
         (0..settings.sides).for_each(|side| system.start_target(side));
@@ -330,16 +342,19 @@
             }
             Act::SideInput { side, life, event } => {
                 if self.sides[side].life == life {
+                    let mut event = event;
+                    self.bend_target_event(side, &mut event);
                     self.step_side(side, *event);
                 }
             }
             Act::TargetStart {
                 side,
                 life,
+                lives,
                 start,
                 is_answered,
             } => {
-                self.target_start(side, life, &start, is_answered);
+                self.target_start(side, life, lives, &start, is_answered);
             }
             Act::TargetStop {
                 side,
--- a/crates/mastknot_virtual/src/jobs/processes.rs
+++ b/crates/mastknot_virtual/src/jobs/processes.rs
@@ -53,7 +53,10 @@
         node.life += 1;
         let name = format!("side-{side}");
         let incarnation = Incarnation(node.life);
-        let settings = AgentSettings::new(name.as_str().into(), incarnation, hall_of(side));
+        let settings = AgentSettings {
+            longest_hold: self.longest_hold,
+            ..AgentSettings::new(name.as_str().into(), incarnation, hall_of(side))
+        };
         node.core = Some(TargetAgent::new(settings));
         node.open.clear();
         node.tick_at = None;
--- a/crates/mastknot_virtual/src/jobs/strikes.rs
+++ b/crates/mastknot_virtual/src/jobs/strikes.rs
@@ -60,6 +60,9 @@
                 self.crash_target(side, is_dark);
                 self.later(down.as_micros() as u64, Act::StartTarget { side });
             }
+            JobFault::HoldReports { side, time } => {
+                self.targets[side].reports_held_until = self.now + time.as_micros() as u64;
+            }
             JobFault::Resize {
                 side,
                 cpu_millis,
--- a/crates/mastknot_virtual/src/jobs/target_slot.rs
+++ b/crates/mastknot_virtual/src/jobs/target_slot.rs
@@ -8,6 +8,11 @@
     pub(super) calls: u64,
     pub(super) open_look: Option<OpenLook>,
     pub(super) due_at: Option<u64>,
+    /// Its reports arrive then at the earliest.
+    pub(super) reports_held_until: u64,
+    /// The number of the newest report that has arrived, and how often one was lower.
+    pub(super) newest_number: u64,
+    pub(super) births: u64,
 }
 
 /// A look whose answer waits for an end.
--- a/crates/mastknot_virtual/src/jobs/targets.rs
+++ b/crates/mastknot_virtual/src/jobs/targets.rs
@@ -10,6 +10,7 @@
 use super::act::Act;
 use super::job_system::{BEAT, CallFate, JobSystem, MILLI, TARGET_DELAY};
 use super::target_slot::OpenLook;
+use super::variants::NamesKept;
 use super::virtual_target::{TargetMood, VirtualStart, VirtualTarget};
 
 /// A room that has changed is known to the side by then, which may stand still for 3.5 s: a beat, and a call on its way.
@@ -21,16 +22,31 @@
         let slot = &mut self.targets[side];
         slot.lives += 1;
         let lives = slot.lives;
-        let id = TargetId(Arc::from(format!("target-{side}-{lives}")));
+        let id = self.target_id(side);
         let capacity = Room {
             cpu_millis: self.settings.cpu_millis,
             memory_mb: 32_768,
             accelerators: 0,
         };
-        slot.target = Some(VirtualTarget::new(id, capacity, slow, self.now));
+        let mut target = VirtualTarget::new(id, capacity, slow, self.now);
+        target.longest_hold_ms = self.longest_hold.as_millis() as u64;
+        self.targets[side].target = Some(target);
         self.later(MILLI, Act::Beat { side, lives });
     }
 
+    /// What the life is called that starts now.
+    pub(super) fn target_id(&self, side: usize) -> TargetId {
+        let lives = self.targets[side].lives;
+        match self.names_kept {
+            NamesKept::None => TargetId::named(format!("target-{side}-{lives}")),
+            // No two lives of a target start in one millisecond.
+            NamesKept::WithBirths => TargetId::born(format!("target-{side}"), self.now / MILLI + 1),
+            NamesKept::WithoutBirths | NamesKept::ByNumbers => {
+                TargetId::named(format!("target-{side}"))
+            }
+        }
+    }
+
     pub(super) fn beat(&mut self, side: usize, lives: u64) {
         let slot = &self.targets[side];
         let Some(target) = slot.target.as_ref().filter(|_| slot.lives == lives) else {
@@ -53,12 +69,16 @@
         let event = AgentEvent::TargetReported(TargetReport {
             profile,
             is_draining: false,
-            number: self.now,
+            number: target.report_number(self.now),
             cold_for: Duration::from_micros(cold_until.saturating_sub(self.now)),
         });
         let life = self.sides[side].life;
         let event = Box::new(event);
-        self.later(TARGET_DELAY, Act::SideInput { side, life, event });
+        let held = self.targets[side]
+            .reports_held_until
+            .saturating_sub(self.now);
+        let delay = held.max(TARGET_DELAY);
+        self.later(delay, Act::SideInput { side, life, event });
         self.later(BEAT, Act::Beat { side, lives });
     }
 
@@ -112,10 +132,12 @@
     pub(super) fn order_start(&mut self, side: usize, life: u64, start: VirtualStart, limit: u64) {
         let run = start.run;
         let start = Box::new(start);
+        let lives = self.targets[side].lives;
         let outcome = |outcome| AgentEvent::OrderAnswered { run, outcome };
         let arrives = |is_answered| Act::TargetStart {
             side,
             life,
+            lives,
             start: start.clone(),
             is_answered,
         };
@@ -197,12 +219,15 @@
         &mut self,
         side: usize,
         life: u64,
+        lives: u64,
         start: &VirtualStart,
         is_answered: bool,
     ) {
         self.advance_target(side);
         let now = self.now;
-        let Some(target) = &mut self.targets[side].target else {
+        // What a target has read and not done yet is gone with it.
+        let has_died = self.targets[side].lives != lives && !is_answered;
+        let Some(target) = self.targets[side].target.as_mut().filter(|_| !has_died) else {
             return;
         };
         let (outcome, has_begun) = target.start(now, start, !self.has_unguarded_targets);
--- a/crates/mastknot_virtual/src/jobs/variants.rs
+++ b/crates/mastknot_virtual/src/jobs/variants.rs
@@ -1,8 +1,73 @@
 //! What processes and targets must not do, or need not do: tests see that the audit notices, or that it makes no difference.
 
+use std::time::Duration;
+
+use mastknot_core::agent::AgentEvent;
+
 use super::job_system::JobSystem;
 
+/// Whether targets start again under the names that they had.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum NamesKept {
+    /// Each life has a name of its own.
+    None,
+    /// They do, and say when they started.
+    WithBirths,
+    /// They do, and say nothing of it: what they must not do.
+    WithoutBirths,
+    /// They do, and a report with a lower number than the one before counts as that of a new life: what sides must not do.
+    ByNumbers,
+}
+
 impl JobSystem {
+    /// Lets targets that start from now on keep their names over their lives.
+    pub fn keep_target_names(&mut self) {
+        self.keep_names(NamesKept::WithBirths);
+    }
+
+    /// Lets targets keep their names without saying when they started: lives are told apart by name alone.
+    pub fn hide_births(&mut self) {
+        self.keep_names(NamesKept::WithoutBirths);
+    }
+
+    /// Lets targets keep their names, and their lives be told apart by the numbers of their reports alone.
+    pub fn number_births(&mut self) {
+        self.keep_names(NamesKept::ByNumbers);
+    }
+
+    /// Takes the births out of what comes from a target, and puts in what its numbers tell.
+    pub(super) fn bend_target_event(&mut self, side: usize, event: &mut AgentEvent) {
+        if self.names_kept != NamesKept::ByNumbers {
+            return;
+        }
+        if let AgentEvent::TargetReported(report) = event {
+            let slot = &mut self.targets[side];
+            slot.births += u64::from(report.number < slot.newest_number);
+            slot.newest_number = report.number;
+            report.profile.id.born_ms = 1 + slot.births;
+        }
+    }
+
+    fn keep_names(&mut self, kept: NamesKept) {
+        self.names_kept = kept;
+        for side in 0..self.targets.len() {
+            let id = self.target_id(side);
+            if let Some(target) = &mut self.targets[side].target {
+                target.id = id;
+            }
+        }
+    }
+
+    /// Lets targets hold their runs for as long as they are asked to, up to this.
+    pub fn lengthen_holds(&mut self, longest: Duration) {
+        self.longest_hold = longest;
+        for slot in &mut self.targets {
+            if let Some(target) = &mut slot.target {
+                target.longest_hold_ms = longest.as_millis() as u64;
+            }
+        }
+    }
+
     /// Lets the processes read a clock that stands still while their VM is suspended: what they must not do.
     pub fn use_steady_clocks(&mut self) {
         self.has_steady_clocks = true;
--- a/crates/mastknot_virtual/src/jobs/virtual_target.rs
+++ b/crates/mastknot_virtual/src/jobs/virtual_target.rs
@@ -48,6 +48,7 @@
     runs: BTreeMap<RunId, TargetRun>,
     finished: Vec<TargetFinished>,
     next_end: u64,
+    pub(super) longest_hold_ms: u64,
     pub(super) mood: TargetMood,
     /// Until when its work takes [`COLD_FACTOR`] times as long.
     pub(super) cold_until: u64,
@@ -65,8 +66,6 @@
     pub(super) is_done: bool,
 }
 
-/// The longest hold, in milliseconds.
-const MAX_HOLD_MS: u64 = 1_000;
 /// How long a stop takes, in microseconds.
 const STOP_MICROS: u64 = 40_000;
 
@@ -85,12 +84,18 @@
             runs: BTreeMap::new(),
             finished: Vec::new(),
             next_end: 0,
+            longest_hold_ms: 0,
             mood: TargetMood::Sound,
             cold_until: 0,
             hides_cold: false,
         }
     }
 
+    /// The number of the report that it sends now.
+    pub(super) fn report_number(&self, now: u64) -> u64 {
+        now.saturating_sub(self.born)
+    }
+
     fn clock_ms(&self, now: u64) -> u64 {
         let lived = now.saturating_sub(self.born);
         1_000 + lived * (1_000 - self.slow_permille) / 1_000_000
@@ -144,7 +149,7 @@
     }
 
     fn extend_hold(&mut self, now: u64, until_ms: u64) {
-        let longest = self.clock_ms(now) + MAX_HOLD_MS;
+        let longest = self.clock_ms(now) + self.longest_hold_ms;
         self.hold_until_ms = self.hold_until_ms.max(until_ms.min(longest));
     }
 
@@ -166,7 +171,7 @@
         if order
             .target
             .as_ref()
-            .is_some_and(|target| *target != self.id)
+            .is_some_and(|target| target.name != self.id.name)
         {
             return refused(OrderRefusal::OtherInstance);
         }
@@ -238,7 +243,7 @@
         if look
             .target
             .as_ref()
-            .is_some_and(|target| *target != self.id)
+            .is_some_and(|target| target.name != self.id.name)
         {
             return Err(LookFailure::OtherInstance);
         }
@@ -263,6 +268,7 @@
         });
         Ok(TargetView {
             clock_ms,
+            born_ms: self.id.born_ms,
             running: running.collect(),
             finished: self.finished.clone(),
         })
--- /dev/null
+++ b/crates/mastknot_virtual/tests/rebirths.rs
@@ -0,0 +1,178 @@
+//! Targets that start again under the names that they had.
+//!
+//! A target that starts again holds nothing and counts anew: its reports, its ends, its clock. Who tells its lives apart by
+//! name alone takes the reports of the new one for late ones of the old, so that the target stands idle for as long as the old
+//! one lived; forgets its first ends; and asks for holds by a clock that is far ahead.
+
+use std::time::Duration;
+
+use mastknot_core::job::JobAnswer;
+use mastknot_virtual::{Direction, JobFault, JobFaultPlan, JobSystem, JobSystemSettings};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+const ENTRIES: usize = 2;
+const SIDES: usize = 3;
+const TARGET_CPU: u32 = 16_000;
+/// Histories that CI runs; `MASTKNOT_HISTORIES` asks for more.
+const CI_HISTORIES: u64 = 150;
+/// Between two jobs: half of what the targets bear.
+const BETWEEN_JOBS_MS: u64 = 80;
+/// The longest hold that a platform may allow.
+const LONG_HOLD: Duration = Duration::from_secs(15);
+
+fn histories() -> u64 {
+    let asked = std::env::var("MASTKNOT_HISTORIES").ok();
+    let asked = asked.and_then(|text| text.parse().ok());
+    asked.unwrap_or(CI_HISTORIES)
+}
+
+fn millis(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn system(seed: u64) -> JobSystem {
+    JobSystem::new(JobSystemSettings {
+        entries: ENTRIES,
+        sides: SIDES,
+        cpu_millis: TARGET_CPU,
+        entry_link: None,
+        usual_links: None,
+        seed,
+    })
+}
+
+/// Jobs of three lengths at both entries in turn.
+fn load(system: &mut JobSystem, from: u64, until: u64) -> usize {
+    let times = (from..until).step_by(BETWEEN_JOBS_MS as usize);
+    let jobs = times.enumerate().map(|(count, at)| {
+        let (tasks, work) = match count % 3 {
+            0 => (8, 60),
+            1 => (2, 200),
+            _ => (3, 900),
+        };
+        system.submit(millis(at), count % ENTRIES, tasks, millis(work))
+    });
+    jobs.count()
+}
+
+fn crash(side: usize, at: u64, down: u64, is_dark: bool) -> JobFaultPlan {
+    JobFaultPlan {
+        at: millis(at),
+        fault: JobFault::CrashTarget {
+            side,
+            down: millis(down),
+            is_dark,
+        },
+    }
+}
+
+/// What may happen around a rebirth: the side is cut off, stands still or restarts, reports are held up, an entry goes.
+fn fault_beside(rng: &mut StdRng, side: usize) -> JobFault {
+    let entry = rng.random_range(0..ENTRIES);
+    let time = millis(rng.random_range(20..3_000));
+    match rng.random_range(0..6) {
+        0 => JobFault::KillSide { side, down: time },
+        1 => JobFault::FreezeSide { side, time },
+        2 => JobFault::HoldReports { side, time },
+        3 => JobFault::KillEntry { entry, down: time },
+        4 => JobFault::SuspendSide { side, time },
+        _ => JobFault::CutLink {
+            entry,
+            side,
+            direction: Direction::Both,
+            time,
+        },
+    }
+}
+
+/// Targets that crash and start again, some of them within a heartbeat and unnoticed, and faults beside.
+fn play(seed: u64, prepare: impl Fn(&mut JobSystem)) -> JobSystem {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut system = system(seed);
+    prepare(&mut system);
+    load(&mut system, 200, 8_000);
+    for _ in 0..rng.random_range(2..7) {
+        let side = rng.random_range(0..SIDES);
+        let at = rng.random_range(300..7_000);
+        let down = [2, 20, 300, 3_000][rng.random_range(0..4)];
+        system.plan(crash(side, at, down, rng.random_bool(0.5)));
+        if rng.random_bool(0.4) {
+            let offset = rng.random_range(0..400);
+            let at = millis((at + offset).saturating_sub(200));
+            let fault = fault_beside(&mut rng, side);
+            system.plan(JobFaultPlan { at, fault });
+        }
+    }
+    system.run_until(millis(25_000));
+    system
+}
+
+#[test]
+fn targets_that_keep_their_names_break_nothing() {
+    for seed in 0..histories() {
+        let system = play(seed, JobSystem::keep_target_names);
+        assert_eq!(system.violations(), [], "seed {seed}");
+        assert_eq!(system.left_over(), (0, 0), "seed {seed}");
+    }
+}
+
+#[test]
+fn long_holds_by_the_clock_of_a_former_life_break_nothing() {
+    for seed in 0..histories() {
+        let system = play(seed, |system| {
+            system.keep_target_names();
+            system.lengthen_holds(LONG_HOLD);
+        });
+        assert_eq!(system.violations(), [], "seed {seed}");
+        assert_eq!(system.left_over(), (0, 0), "seed {seed}");
+    }
+}
+
+/// How many of the jobs are completed that come after all targets, which have lived for long, have started again.
+fn completed_after_rebirth(seed: u64, prepare: impl Fn(&mut JobSystem)) -> (usize, usize) {
+    let mut system = system(seed);
+    prepare(&mut system);
+    for side in 0..SIDES {
+        system.plan(crash(side, 20_000, 500, false));
+    }
+    let jobs = load(&mut system, 22_500, 30_000);
+    system.run_until(millis(40_000));
+    assert_eq!(system.violations(), [], "seed {seed}");
+    let is_completed = |answer: &JobAnswer| *answer == JobAnswer::Completed;
+    (system.audit().count(is_completed), jobs)
+}
+
+#[test]
+fn a_target_takes_work_as_soon_as_its_next_life_reports() {
+    for seed in 0..5 {
+        let (completed, jobs) = completed_after_rebirth(seed, JobSystem::keep_target_names);
+        assert_eq!(completed, jobs, "seed {seed}");
+    }
+}
+
+fn broken(prepare: impl Fn(&mut JobSystem)) -> usize {
+    let is_broken = |seed: &u64| {
+        let system = play(*seed, &prepare);
+        !system.violations().is_empty() || system.left_over() != (0, 0)
+    };
+    (0..histories()).filter(is_broken).count()
+}
+
+#[test]
+fn lives_told_apart_by_name_alone_are_caught() {
+    let broken = broken(|system| {
+        system.hide_births();
+        system.lengthen_holds(LONG_HOLD);
+    });
+    assert!(broken > 0, "the audit does not see it");
+}
+
+#[test]
+fn lives_told_apart_by_report_numbers_alone_are_caught() {
+    let broken = broken(|system| {
+        system.number_births();
+        system.lengthen_holds(LONG_HOLD);
+    });
+    assert!(broken > 0, "the audit does not see it");
+}
