feat(scheduler): kinds of tasks that crash targets are kept to a part of the targets

Cause: what is known of one job that crashes its targets says nothing of the next one of its queue. Where one in ten jobs of a queue does so, each costs two targets for 3.3 s, which is more than there are: all queues were refused alike. Change: a kind is a queue and an image. Once a task is known to crash targets, its kind is contained: it alone is started at its part of the targets, which all entries derive from names, as large as the other kinds can do without; one job has a target for itself until it has run for as long as others did until the crash; jobs that have crashed one target are given up at once and not started again meanwhile; what finds the part closed is refused at once. A crash that such a task explains says nothing of what ran beside it. A suspect of a kind that is still free is tried first where its part would be. A kind is released when enough of it has run without a crash.

--- a/crates/mastknot_core/src/agent/entry_links.rs
+++ b/crates/mastknot_core/src/agent/entry_links.rs
@@ -90,6 +90,7 @@
                 phase: RunPhase::Running,
                 percent,
                 paced_percent: percent,
+                kind: adopted.kind,
                 ..Run::new(now, key.clone(), adopted.room, adopted.estimate_ms)
             };
             self.runs.insert(adopted.run, run);
--- a/crates/mastknot_core/src/agent/orders.rs
+++ b/crates/mastknot_core/src/agent/orders.rs
@@ -52,9 +52,11 @@
             self.turn_away(key, start.run, cause);
             return;
         }
-        let crashed_after = start.crashed_after_ms.map(u64::from);
+        let millis = |ms: Option<u32>| ms.map(u64::from).map(Duration::from_millis);
         let run = Run {
-            crashed_after: crashed_after.map(Duration::from_millis),
+            kind: start.kind,
+            kind_crashed_after: millis(start.kind_crashed_after_ms),
+            crashed_after: millis(start.crashed_after_ms),
             ..Run::new(now, key.clone(), start.room, start.estimate_ms)
         };
         self.use_offer(key, &start.room);
@@ -109,7 +111,7 @@
         if is_paused || is_known || !self.available_to(key).holds(&start.room) {
             return Some(NotRunCause::NoRoom);
         }
-        if self.holds_like_suspect(now, start) {
+        if self.holds_like_suspect(now, start) || self.holds_other_trial(now, start) {
             return Some(NotRunCause::OtherSuspect);
         }
         None
@@ -126,6 +128,16 @@
         runs.any(|(_, run)| run.is_like_suspect(now, ran))
     }
 
+    /// Whether another job of a contained kind is on trial: if its tasks crash the target, none but that job pays for it.
+    fn holds_other_trial(&self, now: Moment, start: &StartOrder) -> bool {
+        if start.kind_crashed_after_ms.is_none() {
+            return false;
+        }
+        let job = start.run.task.job;
+        let mut others = self.runs.iter().filter(|(id, _)| id.task.job != job);
+        others.any(|(_, run)| run.is_on_kind_trial(now))
+    }
+
     fn turn_away(&mut self, key: &OwnerKey, run: RunId, cause: NotRunCause) {
         self.decided(AgentDecision::TurnedAway {
             run,
--- a/crates/mastknot_core/src/agent/run_table.rs
+++ b/crates/mastknot_core/src/agent/run_table.rs
@@ -3,7 +3,7 @@
 use indexmap::IndexMap;
 
 use super::owners::OwnerKey;
-use crate::job::{EndOfRun, Room, RunId, ran_alike, trial_time};
+use crate::job::{EndOfRun, Room, RunId, TaskKind, ran_alike, trial_time};
 use crate::types::Moment;
 
 /// Where a run stands.
@@ -50,6 +50,10 @@
     pub paced_percent: u8,
     /// When that progress was seen.
     pub paced: Moment,
+    /// What its task has in common with others that run the same program.
+    pub kind: TaskKind,
+    /// After what time targets crashed under tasks of its kind, if the kind is contained.
+    pub kind_crashed_after: Option<Duration>,
     /// After what time a target crashed under its task before, if one has.
     pub crashed_after: Option<Duration>,
     /// How often in a row the target did not list it although it should.
@@ -69,6 +73,8 @@
             progressed: now,
             paced_percent: 0,
             paced: now,
+            kind: TaskKind::default(),
+            kind_crashed_after: None,
             crashed_after: None,
             missed: 0,
         }
@@ -86,6 +92,12 @@
             .is_some_and(|own| now.since(self.since) <= trial_time(own) && ran_alike(own, ran))
     }
 
+    /// Whether it may still crash its target as others of its kind have.
+    pub(crate) fn is_on_kind_trial(&self, now: Moment) -> bool {
+        self.kind_crashed_after
+            .is_some_and(|ran| now.since(self.since) <= trial_time(ran))
+    }
+
     /// The caller's guess of its time.
     pub(crate) fn estimate(&self) -> Duration {
         Duration::from_millis(u64::from(self.estimate_ms))
--- a/crates/mastknot_core/src/agent/target_reports.rs
+++ b/crates/mastknot_core/src/agent/target_reports.rs
@@ -111,6 +111,7 @@
             let state = self.runs.get(run)?;
             Some(CrashedRun {
                 run: *run,
+                kind: state.kind,
                 ran_ms: crashed.since(state.since).as_millis() as u32,
                 has_begun: state.has_begun(),
             })
--- a/crates/mastknot_core/src/job/entry_order.rs
+++ b/crates/mastknot_core/src/job/entry_order.rs
@@ -3,7 +3,8 @@
 use bincode::{Decode, Encode};
 
 use super::{
-    DocumentPart, DocumentRequest, EntryNews, KnownEntry, Room, RunId, TargetProfile, WaitingNeed,
+    DocumentPart, DocumentRequest, EntryNews, KnownEntry, Room, RunId, TargetProfile, TaskKind,
+    WaitingNeed,
 };
 use crate::types::{Incarnation, NodeName};
 
@@ -31,6 +32,11 @@
     pub room: Room,
     /// A guess of its time, in milliseconds.
     pub estimate_ms: u32,
+    /// What it has in common with tasks that run the same program.
+    pub kind: TaskKind,
+    /// After what time targets crashed under tasks of its kind, in milliseconds, if the kind is contained: until then no
+    /// other job's task of a contained kind is started beside it.
+    pub kind_crashed_after_ms: Option<u32>,
     /// After what time a target crashed under its task, in milliseconds, if one has.
     pub crashed_after_ms: Option<u32>,
 }
@@ -44,6 +50,8 @@
     pub room: Room,
     /// A guess of its time, in milliseconds.
     pub estimate_ms: u32,
+    /// What it has in common with tasks that run the same program.
+    pub kind: TaskKind,
 }
 
 /// What an entry says to a side.
--- a/crates/mastknot_core/src/job/mod.rs
+++ b/crates/mastknot_core/src/job/mod.rs
@@ -19,6 +19,7 @@
 mod step_spec;
 mod target_crash;
 mod target_profile;
+mod task_kind;
 mod waiting_need;
 
 pub use attempt_numbers::AttemptNumbers;
@@ -40,4 +41,5 @@
 pub use step_spec::StepSpec;
 pub use target_crash::{CrashedRun, TargetCrash, ran_alike, trial_time};
 pub use target_profile::{TargetId, TargetProfile};
+pub use task_kind::TaskKind;
 pub use waiting_need::WaitingNeed;
--- a/crates/mastknot_core/src/job/step_spec.rs
+++ b/crates/mastknot_core/src/job/step_spec.rs
@@ -20,4 +20,6 @@
     pub preferred_rack: Option<Arc<str>>,
     /// How many of its tasks one target may hold; 0 for any number.
     pub max_per_target: u16,
+    /// What its tasks run, if the caller names it.
+    pub image: Option<Arc<str>>,
 }
--- a/crates/mastknot_core/src/job/target_crash.rs
+++ b/crates/mastknot_core/src/job/target_crash.rs
@@ -2,7 +2,7 @@
 
 use bincode::{Decode, Encode};
 
-use super::{RunId, TargetId};
+use super::{RunId, TargetId, TaskKind};
 
 /// Two times that the same task ran until its target crashed differ by less than this: the crash is noticed 1 to
 /// 6 ms late (by the logs of sides whose targets crashed 10 ms after a start), and the clock of the start is that of the order.
@@ -15,12 +15,21 @@
 pub struct CrashedRun {
     /// The run.
     pub run: RunId,
+    /// The kind of its task.
+    pub kind: TaskKind,
     /// How long it had run, in milliseconds, as far as its side knows.
     pub ran_ms: u32,
     /// Whether the target is known to have started it.
     pub has_begun: bool,
 }
 
+impl CrashedRun {
+    /// How long it had run.
+    pub fn ran(&self) -> Duration {
+        Duration::from_millis(u64::from(self.ran_ms))
+    }
+}
+
 /// A life of a target has ended by a crash: all that ran there shares it, though one run may have brought it about.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
 pub struct TargetCrash {
--- a/crates/mastknot_core/src/scheduler/active_job.rs
+++ b/crates/mastknot_core/src/scheduler/active_job.rs
@@ -3,7 +3,7 @@
 
 use super::CallerId;
 use super::order_key::{JobTimes, OrderKey};
-use crate::job::{AttemptNumbers, JobRequest, QueuePolicy, StepSpec, TaskRef};
+use crate::job::{AttemptNumbers, JobRequest, QueuePolicy, StepSpec, TaskKind, TaskRef};
 use crate::types::{Moment, NodeName};
 
 /// The longest run of a step counts as its work up to so many times the middle one: tasks differ by about a seventh.
@@ -51,6 +51,8 @@
     pub(crate) deadline: Moment,
     pub(crate) times: JobTimes,
     pub(crate) tasks: Vec<ActiveTask>,
+    /// The kind of each step's tasks.
+    pub(crate) kinds: Vec<TaskKind>,
     /// How long each step is expected to take.
     pub(crate) expected: Vec<Duration>,
     /// From then on it is refused if nothing of it has begun.
@@ -95,6 +97,11 @@
         &self.request.steps[usize::from(self.tasks[task].name.step)]
     }
 
+    /// The kind of a task.
+    pub(crate) fn kind(&self, task: usize) -> TaskKind {
+        self.kinds[usize::from(self.tasks[task].name.step)]
+    }
+
     /// The place of a task in the list of tasks.
     pub(crate) fn find(&self, name: &TaskRef) -> Option<usize> {
         self.tasks.iter().position(|task| task.name == *name)
--- a/crates/mastknot_core/src/scheduler/active_links.rs
+++ b/crates/mastknot_core/src/scheduler/active_links.rs
@@ -115,7 +115,8 @@
         let Some(job) = first.and_then(|id| self.jobs.get(id)) else {
             return;
         };
-        let is_suitable = |side: &SideView| could_run(job, side);
+        let kind = self.contained_kind(job);
+        let is_suitable = |side: &SideView| could_run(job, side) && side.kept_for == kind;
         let used = self.sides.values().filter(|side| is_in_use(side));
         let (count, suitable) = used.fold((0, 0), |(count, suitable), side| {
             (count + 1, suitable + usize::from(is_suitable(side)))
--- /dev/null
+++ b/crates/mastknot_core/src/scheduler/containment.rs
@@ -0,0 +1,190 @@
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::job::{CrashedRun, TargetCrash, TaskKind, ran_alike};
+use crate::types::Moment;
+
+/// So many runs at least have to do their work without a crash before their kind counts as sound.
+const LEAST_SOUND: u32 = 32;
+/// So many times the runs that were done for each crash have to be done without one: by chance that is seen once in
+/// twenty times.
+const SOUND_FACTOR: u32 = 3;
+/// No kind is released sooner after its last crash: others may not have been heard of yet.
+const LEAST_CONTAINED: Duration = Duration::from_secs(1);
+/// After this time without a crash the least number of sound runs is enough.
+const LONG_CONTAINED: Duration = Duration::from_secs(4);
+/// A kind is released after this time without a crash, whatever ran.
+const MOST_CONTAINED: Duration = Duration::from_secs(10);
+/// For so long after a kind's release a single crash that is like those before contains it again.
+const REMEMBERED: Duration = Duration::from_secs(60);
+
+/// A kind of tasks that have crashed their targets.
+#[derive(Clone, Copy, Debug)]
+struct SuspectKind {
+    /// How long one of its tasks ran until its target crashed.
+    ran: Duration,
+    /// The part of the targets that it has, from 0 to 1.
+    part: f64,
+    last_crash: Moment,
+    crashes: u32,
+    /// Runs that did their work while the kind was contained, and how many of them since the last crash.
+    done: u32,
+    done_since: u32,
+    is_contained: bool,
+}
+
+impl SuspectKind {
+    fn new(now: Moment, ran: Duration, part: f64) -> Self {
+        Self {
+            ran,
+            part,
+            last_crash: now,
+            crashes: 1,
+            done: 0,
+            done_since: 0,
+            is_contained: true,
+        }
+    }
+
+    fn note_crash(&mut self, now: Moment) {
+        self.last_crash = now;
+        self.crashes += 1;
+        self.done_since = 0;
+    }
+
+    fn contain_again(&mut self, now: Moment) {
+        *self = Self::new(now, self.ran, self.part);
+    }
+
+    /// Whether enough has run without a crash.
+    fn is_sound(&self, now: Moment) -> bool {
+        let since = now.since(self.last_crash);
+        let for_each_crash = self.done / self.crashes.max(1);
+        let enough = match since >= LONG_CONTAINED {
+            true => LEAST_SOUND,
+            false => LEAST_SOUND.max(SOUND_FACTOR * for_each_crash),
+        };
+        let has_shown = since >= LEAST_CONTAINED && self.done_since >= enough;
+        has_shown || since >= MOST_CONTAINED
+    }
+}
+
+/// Which kinds of tasks are kept to a part of the targets.
+///
+/// A kind is contained once one of its tasks is known to crash targets. Each new task of the kind may do so too, and two
+/// targets a job, each gone for seconds, can be more than there are. It is released when it has shown to be sound.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Containment {
+    kinds: BTreeMap<TaskKind, SuspectKind>,
+}
+
+impl Containment {
+    /// A task of the kind is known to crash targets; returns whether the kind was free before.
+    pub(crate) fn contain(
+        &mut self,
+        now: Moment,
+        kind: TaskKind,
+        ran: Duration,
+        part: f64,
+    ) -> bool {
+        match self.kinds.get_mut(&kind) {
+            Some(known) if known.is_contained => {
+                known.ran = known.ran.max(ran);
+                false
+            }
+            Some(known) => {
+                known.contain_again(now);
+                true
+            }
+            None => {
+                self.kinds.insert(kind, SuspectKind::new(now, ran, part));
+                true
+            }
+        }
+    }
+
+    /// The crash as far as it says something of tasks: where one of a contained kind ran for as long as others of its kind
+    /// did until their targets crashed, it is the cause, and what else ran there has nothing to do with it.
+    pub(crate) fn blamed(&self, crash: &TargetCrash) -> TargetCrash {
+        let is_cause = |run: &CrashedRun| {
+            let usual = self.ran(run.kind);
+            run.has_begun && usual.is_some_and(|usual| ran_alike(usual, run.ran()))
+        };
+        let mut blamed = crash.clone();
+        if !crash.was_silent && crash.runs.iter().any(is_cause) {
+            blamed.runs.retain(is_cause);
+        }
+        blamed
+    }
+
+    /// Takes in what ran on a target that has crashed; returns the kinds that are contained again.
+    pub(crate) fn note_crash(&mut self, now: Moment, crash: &TargetCrash) -> Vec<TaskKind> {
+        let mut again = Vec::new();
+        for (kind, known) in &mut self.kinds {
+            let begun = crash.runs.iter().filter(|run| run.has_begun);
+            let mut of_kind = begun.filter(|run| run.kind == *kind).peekable();
+            if of_kind.peek().is_none() {
+                continue;
+            }
+            let ran = known.ran;
+            let is_like = of_kind.any(|run| ran_alike(run.ran(), ran));
+            if known.is_contained {
+                known.note_crash(now);
+            } else if is_like && !crash.was_silent {
+                known.contain_again(now);
+                again.push(*kind);
+            }
+        }
+        again
+    }
+
+    /// A run of the kind has done its work.
+    pub(crate) fn note_done(&mut self, kind: TaskKind) {
+        if let Some(known) = self.kinds.get_mut(&kind).filter(|known| known.is_contained) {
+            known.done += 1;
+            known.done_since += 1;
+        }
+    }
+
+    /// Releases the kinds that have shown to be sound, and returns them; forgets those of long ago.
+    pub(crate) fn release(&mut self, now: Moment) -> Vec<TaskKind> {
+        let mut released = Vec::new();
+        for (kind, known) in &mut self.kinds {
+            if known.is_contained && known.is_sound(now) {
+                known.is_contained = false;
+                released.push(*kind);
+            }
+        }
+        let is_of_use = |known: &SuspectKind| now.since(known.last_crash) < REMEMBERED;
+        self.kinds
+            .retain(|_, known| known.is_contained || is_of_use(known));
+        released
+    }
+
+    /// How long a task of a contained kind ran until its target crashed; none if the kind is free.
+    pub(crate) fn ran(&self, kind: TaskKind) -> Option<Duration> {
+        let known = self.kinds.get(&kind);
+        known
+            .filter(|known| known.is_contained)
+            .map(|known| known.ran)
+    }
+
+    /// The kinds that are contained, and their parts of the targets.
+    pub(crate) fn contained(&self) -> impl Iterator<Item = (TaskKind, f64)> {
+        let contained = self.kinds.iter().filter(|(_, known)| known.is_contained);
+        contained.map(|(kind, known)| (*kind, known.part))
+    }
+
+    /// Whether no kind is contained.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.contained().next().is_none()
+    }
+
+    /// When time alone releases a kind.
+    pub(crate) fn due(&self) -> Option<Moment> {
+        let contained = self.kinds.values().filter(|known| known.is_contained);
+        contained
+            .map(|known| known.last_crash + MOST_CONTAINED)
+            .min()
+    }
+}
--- a/crates/mastknot_core/src/scheduler/crash_memory.rs
+++ b/crates/mastknot_core/src/scheduler/crash_memory.rs
@@ -47,7 +47,7 @@
 impl RunAtCrash {
     fn new(crash: &TargetCrash, crashed: &CrashedRun) -> Self {
         Self {
-            ran: Duration::from_millis(u64::from(crashed.ran_ms)),
+            ran: crashed.ran(),
             has_begun: crashed.has_begun,
             is_timed: !crash.was_silent,
         }
@@ -114,6 +114,11 @@
         })
     }
 
+    /// Whether a task is known to crash targets.
+    pub(crate) fn is_guilty(&self, task: &TaskRef) -> bool {
+        self.standing(task) == CrashStanding::Guilty
+    }
+
     /// How long a suspect ran until its last target crashed; none if it is no suspect.
     pub(crate) fn suspect_ran(&self, task: &TaskRef) -> Option<Duration> {
         match self.standing(task) {
--- a/crates/mastknot_core/src/scheduler/job_ends.rs
+++ b/crates/mastknot_core/src/scheduler/job_ends.rs
@@ -69,6 +69,9 @@
         if matches!(ended.end, EndOfRun::NotRun(_)) {
             job.not_begun += 1;
         }
+        let kind = job.kind(place);
+        let room = job.step(place).room;
+        let ran = job.tasks[place].ran;
         let failures = job.tasks[place].counted_failures();
         let crashes = job.tasks[place].crashes;
         let has_failed = failures >= job.policy.max_attempts.max(1);
@@ -89,9 +92,15 @@
         }
         if ended.end == EndOfRun::Crashed {
             self.give_up_guilty(now, run.task);
+            self.give_up_suspect(now, id);
         }
         if ended.end == EndOfRun::Done {
             self.learn_run_time(id, run.task.step);
+            self.kind_loads.note(kind, &room, ran);
+            self.containment.note_done(kind);
+        }
+        if ended.end == EndOfRun::NotRun(NotRunCause::OtherSuspect) {
+            self.note_other_trial(now, side, kind);
         }
         self.after_end(now, id, ended.end);
     }
--- a/crates/mastknot_core/src/scheduler/job_scheduler.rs
+++ b/crates/mastknot_core/src/scheduler/job_scheduler.rs
@@ -5,7 +5,9 @@
 
 use super::active_job::ActiveJob;
 use super::active_links::ActiveLinks;
+use super::containment::Containment;
 use super::crash_memory::CrashMemory;
+use super::kind_loads::KindLoads;
 use super::run_times::RunTimes;
 use super::side_links::Greeting;
 use super::side_view::SideView;
@@ -13,7 +15,7 @@
     CallerId, OrderKey, SchedulerCounters, SchedulerDecision, SchedulerEffect, SchedulerEvent,
     SchedulerSettings, SessionId,
 };
-use crate::job::{ConfigDocument, DrainedHalls, EntryOrder, JobId, KnownEntry};
+use crate::job::{ConfigDocument, DrainedHalls, EntryOrder, JobId, KnownEntry, TaskKind};
 use crate::relay::{DocumentFetch, DocumentServer};
 use crate::types::{Moment, NodeName, stable_hash};
 
@@ -52,6 +54,11 @@
     pub(super) run_times: RunTimes,
     /// Crashes of targets, and what ran there.
     pub(super) crashes: CrashMemory,
+    pub(super) kind_loads: KindLoads,
+    /// Kinds of tasks that are kept to a part of the targets.
+    pub(super) containment: Containment,
+    /// Those of them that have a part.
+    pub(super) parted_kinds: Vec<TaskKind>,
     /// When the last event was handled.
     pub(super) handled: Moment,
     pub(super) has_told_waiting: bool,
@@ -87,6 +94,9 @@
             next_sequence: 0,
             run_times: RunTimes::default(),
             crashes: CrashMemory::default(),
+            kind_loads: KindLoads::default(),
+            containment: Containment::default(),
+            parted_kinds: Vec::new(),
             handled: Moment::default(),
             has_told_waiting: false,
             active_links: ActiveLinks::default(),
@@ -107,6 +117,7 @@
         self.end_unanswered_greetings(now);
         self.handle(now, event);
         self.end_lost_runs(now);
+        self.release_kinds(now);
         self.place_waiting(now);
         self.adjust_active_links(now);
         self.beat(now);
@@ -194,6 +205,8 @@
             .chain(outlook)
             .chain(self.relay_due())
             .chain(self.active_links_due())
+            .chain(self.containment.due())
+            .chain(self.trials_due())
             .min()
     }
 }
--- a/crates/mastknot_core/src/scheduler/mod.rs
+++ b/crates/mastknot_core/src/scheduler/mod.rs
@@ -5,10 +5,13 @@
 
 mod active_job;
 mod active_links;
+mod contained_kinds;
+mod containment;
 mod crash_memory;
 mod drained_halls;
 mod job_ends;
 mod job_scheduler;
+mod kind_loads;
 mod order_key;
 mod placing;
 mod relaying;
--- a/crates/mastknot_core/src/scheduler/order_key.rs
+++ b/crates/mastknot_core/src/scheduler/order_key.rs
@@ -17,6 +17,8 @@
 /// Which waiting job is served first: the lowest key.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct OrderKey {
+    /// Whether its kind is contained: it waits for other targets than the rest does.
+    pub is_contained: bool,
     /// What can still be in time goes before what can't.
     pub outlook: Outlook,
     /// Whether nothing of it has begun: a job that has begun earns nothing until all of it is done,
@@ -43,6 +45,16 @@
 const LOWEST_PRIORITY: u32 = 15;
 
 impl OrderKey {
+    /// The first place of those whose kinds are contained.
+    pub(crate) const FIRST_CONTAINED: Self = Self {
+        is_contained: true,
+        outlook: Outlook::InTime,
+        is_new: false,
+        priority: 0,
+        latest_start: Moment::from_micros(0),
+        sequence: 0,
+    };
+
     /// Outlook, whether it has begun, and priority in one number: the lowest is the most urgent.
     /// Sides offer their room by it, so that all entries finish what has begun first.
     pub fn rank(&self) -> u8 {
@@ -70,9 +82,10 @@
 
 impl ActiveJob {
     /// Its place among the waiting jobs.
-    pub(crate) fn order_key(&self, now: Moment) -> OrderKey {
+    pub(crate) fn order_key(&self, now: Moment, is_contained: bool) -> OrderKey {
         let (outlook, latest_start) = self.times.outlook(now, self.remaining_chain());
         OrderKey {
+            is_contained,
             outlook,
             priority: self.policy.priority,
             is_new: !self.may_have_begun(),
--- a/crates/mastknot_core/src/scheduler/placing.rs
+++ b/crates/mastknot_core/src/scheduler/placing.rs
@@ -5,10 +5,10 @@
 
 use super::active_job::{ActiveJob, TaskState};
 use super::job_scheduler::JobScheduler;
-use super::side_view::SideView;
-use super::{Outlook, SchedulerDecision};
+use super::side_view::{SideTrial, SideView};
+use super::{OrderKey, Outlook, SchedulerDecision};
 use crate::job::{
-    EntryOrder, JobAnswer, JobId, Room, RunId, StartOrder, TargetCondition, WaitingNeed,
+    EntryOrder, JobAnswer, JobId, Room, RunId, StartOrder, TargetCondition, WaitingNeed, trial_time,
 };
 use crate::types::{Moment, NodeName};
 
@@ -22,6 +22,8 @@
 const SLOW_TARGET_TRIED_EVERY: Duration = Duration::from_secs(1);
 /// Added to the score of a side where the task has failed before, in thousandths of a full target.
 const AVOIDED_PENALTY: u32 = 4_000;
+/// Added to the score of a side for a suspect whose kind would have other targets if it were contained.
+const UNLIKELY_PENALTY: u32 = 1_400;
 /// Added to the score of a side in another rack than the task's data.
 const FAR_PENALTY: u32 = 600;
 /// Added to the score of a target on probation.
@@ -47,21 +49,41 @@
             return;
         }
         self.refresh_outlooks(now);
-        let first = self.waiting.values().take(MAX_SCANNED).copied();
-        let first: Vec<JobId> = first.collect();
         let candidates = self.candidates(now);
+        let (free, contained) = self.first_waiting();
+        let misses = self.place_jobs(now, &free, &candidates);
+        let contained_misses = self.place_jobs(now, &contained, &candidates);
+        if misses + contained_misses > 0 {
+            self.give_up_hopeless(now);
+        }
+    }
+
+    /// The first jobs that wait, and the first of contained kinds: these wait for targets of their own, so that neither
+    /// holds the other up.
+    fn first_waiting(&self) -> (Vec<JobId>, Vec<JobId>) {
+        let first = |ids: &mut dyn Iterator<Item = &JobId>| {
+            let ids = ids.take(MAX_SCANNED).copied();
+            ids.collect::<Vec<JobId>>()
+        };
+        let mut free = self.waiting.range(..OrderKey::FIRST_CONTAINED);
+        let mut contained = self.waiting.range(OrderKey::FIRST_CONTAINED..);
+        let free = first(&mut free.by_ref().map(|(_, id)| id));
+        let contained = first(&mut contained.by_ref().map(|(_, id)| id));
+        (free, contained)
+    }
+
+    /// Places what it can of these jobs; returns how many found too little room.
+    fn place_jobs(&mut self, now: Moment, jobs: &[JobId], candidates: &[Candidate]) -> usize {
         let mut misses = 0;
-        for id in first {
-            if candidates.is_empty() || !self.place_job(now, id, &candidates) {
+        for id in jobs {
+            if candidates.is_empty() || !self.place_job(now, *id, candidates) {
                 misses += 1;
             }
             if misses >= MAX_MISSES {
                 break;
             }
         }
-        if misses > 0 {
-            self.give_up_hopeless(now);
-        }
+        misses
     }
 
     /// The sides that may get a start now, whatever the task: in crowded times few of many, so all
@@ -88,10 +110,11 @@
 
     /// What waits here, as far as it is as urgent as the first of it.
     pub(super) fn waiting_need(&self) -> Option<WaitingNeed> {
-        let (first, _) = self.waiting.first_key_value()?;
-        let rank = first.rank();
+        // Contained kinds have targets of their own, where others take no room from them.
+        let free = self.waiting.range(..OrderKey::FIRST_CONTAINED);
+        let rank = free.clone().next()?.0.rank();
         let mut need: Option<WaitingNeed> = None;
-        for (key, id) in self.waiting.iter().take(MAX_SCANNED) {
+        for (key, id) in free.take(MAX_SCANNED) {
             if key.rank() != rank {
                 break;
             }
@@ -115,9 +138,12 @@
     /// Gives up jobs that found no room and can't end while they are worth anything: their callers
     /// learn so at once, and what still runs of them is stopped for others.
     fn give_up_hopeless(&mut self, now: Moment) {
-        let hopeless = self.waiting.iter().rev();
-        let hopeless = hopeless.take_while(|(key, _)| key.outlook == Outlook::Hopeless);
-        let hopeless: Vec<JobId> = hopeless.map(|(_, id)| *id).collect();
+        let is_hopeless = |key: &OrderKey| key.outlook == Outlook::Hopeless;
+        let free = self.waiting.range(..OrderKey::FIRST_CONTAINED).rev();
+        let free = free.take_while(|(key, _)| is_hopeless(key));
+        let contained = self.waiting.range(OrderKey::FIRST_CONTAINED..);
+        let contained = contained.filter(|(key, _)| is_hopeless(key));
+        let hopeless: Vec<JobId> = free.chain(contained).map(|(_, id)| *id).collect();
         for id in hopeless {
             let has_begun = self.jobs.get(&id).is_some_and(|job| job.may_have_begun());
             let answer = match has_begun {
@@ -132,7 +158,9 @@
 
     /// Lowers the order of jobs that can no longer be in time.
     fn refresh_outlooks(&mut self, now: Moment) {
-        let stale = self.waiting.iter().take(MAX_SCANNED);
+        let first = self.waiting.iter().take(MAX_SCANNED);
+        let contained = self.waiting.range(OrderKey::FIRST_CONTAINED..);
+        let stale = first.chain(contained.take(MAX_SCANNED));
         let stale =
             stale.filter(|(key, _)| key.outlook != Outlook::Hopeless && key.latest_start < now);
         let stale: Vec<JobId> = stale.map(|(_, id)| *id).collect();
@@ -180,26 +208,37 @@
         task: usize,
         candidates: &[Candidate],
     ) -> Option<NodeName> {
-        let suspect = self.crashes.suspect_ran(&job.tasks[task].name);
+        let suspect = self.suspect_by_itself(job, task);
+        let likely = suspect.map(|_| self.likely_part(job.kind(task)));
+        let is_unlikely = |place: &usize| likely.as_ref().is_some_and(|part| !part.contains(place));
         let sides = candidates.iter().filter_map(|candidate| {
             let (name, side) = self.sides.get_index(candidate.place)?;
             let is_tried = candidate.is_slow && !side.runs.is_empty();
-            (!is_tried).then_some((name, side))
+            (!is_tried).then_some((candidate.place, name, side))
         });
-        let fitting = sides.filter(|(name, side)| {
+        let fitting = sides.filter(|(_, name, side)| {
             is_suitable(job, task, side)
+                && self.is_in_part(now, job, task, side)
                 && has_capacity_for_step(job, task, name)
                 && suspect.is_none_or(|ran| !self.holds_like_suspect(now, ran, side))
         });
-        let best = fitting.min_by_key(|(name, side)| score(job, task, name, side));
-        best.map(|(name, _)| name.clone())
+        let best = fitting.min_by_key(|(place, name, side)| {
+            let unlikely = u32::from(is_unlikely(place)) * UNLIKELY_PENALTY;
+            score(job, task, name, side) + self.apart_penalty(job, task, name) + unlikely
+        });
+        best.map(|(_, name, _)| name.clone())
     }
 
     fn start(&mut self, now: Moment, id: JobId, task: usize, side: &NodeName) {
+        let Some(job) = self.jobs.get(&id) else {
+            return;
+        };
+        let crashed_after = self.suspect_by_itself(job, task);
+        let kind = job.kind(task);
+        let kind_crashed_after = self.kept_apart(kind);
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
         };
-        let crashed_after = self.crashes.suspect_ran(&job.tasks[task].name);
         let Some(view) = self.sides.get_mut(side) else {
             return;
         };
@@ -224,6 +263,11 @@
             waited_ms: now.since(job.arrived).as_millis() as u64,
         };
         view.note_start(now, run, id, room);
+        if let Some(ran) = kind_crashed_after {
+            let until = now + trial_time(ran);
+            let job = Some(id);
+            view.trial = Some(SideTrial { job, until });
+        }
         job.tasks[task].state = TaskState::Ordered {
             side: side.clone(),
             attempt,
@@ -235,6 +279,8 @@
             payload: Arc::clone(&job.request.payload),
             room,
             estimate_ms,
+            kind,
+            kind_crashed_after_ms: kind_crashed_after.map(|ran| ran.as_millis() as u32),
             crashed_after_ms: crashed_after.map(|ran| ran.as_millis() as u32),
         };
         self.counters.starts += 1;
--- a/crates/mastknot_core/src/scheduler/scheduler_counters.rs
+++ b/crates/mastknot_core/src/scheduler/scheduler_counters.rs
@@ -33,6 +33,12 @@
     pub target_crashes: u64,
     /// Tasks given up because they crash the targets on which they start.
     pub tasks_given_up: u64,
+    /// Kinds of tasks that were kept to a part of the targets, as their tasks crash targets.
+    pub kinds_contained: u64,
+    /// Kinds of tasks that were released again.
+    pub kinds_released: u64,
+    /// Jobs of contained kinds given up after a crash like those of others of their kind.
+    pub suspects_given_up: u64,
     /// Runs stopped.
     pub runs_stopped: u64,
     /// Starts turned away for want of room.
--- a/crates/mastknot_core/src/scheduler/scheduler_decision.rs
+++ b/crates/mastknot_core/src/scheduler/scheduler_decision.rs
@@ -1,7 +1,7 @@
 use std::sync::Arc;
 
 use super::{CallerId, Outlook};
-use crate::job::{DrainedHalls, EndOfRun, JobAnswer, JobId, RunId, TaskRef};
+use crate::job::{DrainedHalls, EndOfRun, JobAnswer, JobId, RunId, TaskKind, TaskRef};
 use crate::types::{Incarnation, NodeName};
 
 /// One decision of an entry, for the logs.
@@ -15,6 +15,8 @@
         request_id: Arc<str>,
         /// Its queue.
         queue: Arc<str>,
+        /// The kind of its first step's tasks.
+        kind: TaskKind,
         /// The configuration that it was taken under.
         config_version: u64,
         /// How many tasks it has.
@@ -72,6 +74,18 @@
         /// How long it ran until each of its targets crashed, in milliseconds.
         ran_ms: Vec<u32>,
     },
+    /// A kind of tasks is kept to a part of the targets: one of its tasks crashes them.
+    KindContained {
+        /// The kind.
+        kind: TaskKind,
+        /// How many targets it has.
+        targets: usize,
+    },
+    /// A kind of tasks has shown to be sound and may run anywhere again.
+    KindReleased {
+        /// The kind.
+        kind: TaskKind,
+    },
     /// A job was answered.
     Answered {
         /// The job.
--- a/crates/mastknot_core/src/scheduler/side_links.rs
+++ b/crates/mastknot_core/src/scheduler/side_links.rs
@@ -99,6 +99,7 @@
         self.sides_due = Some(now);
         self.fetch.note_offer(session, hello.config_version);
         self.is_holder_choice_stale = true;
+        self.reassign_parts();
     }
 
     /// Closes links whose greeting came from nobody who lives.
@@ -169,6 +170,7 @@
             run,
             room: spec.room,
             estimate_ms: spec.estimate.as_millis() as u32,
+            kind: job.kinds[usize::from(run.task.step)],
         })
     }
 
@@ -240,6 +242,7 @@
         let runs = view.runs.len();
         self.sides_due = Some(now);
         self.is_holder_choice_stale = true;
+        self.reassign_parts();
         self.fill_active_links(now);
         self.decided(SchedulerDecision::SideLeft {
             side: name,
--- a/crates/mastknot_core/src/scheduler/side_view.rs
+++ b/crates/mastknot_core/src/scheduler/side_view.rs
@@ -5,7 +5,7 @@
 
 use super::SessionId;
 use crate::job::{
-    EntryNews, JobId, LeaseTerms, Room, RunId, SideStatus, TargetCondition, TargetProfile,
+    EntryNews, JobId, LeaseTerms, Room, RunId, SideStatus, TargetCondition, TargetProfile, TaskKind,
 };
 use crate::types::{Hall, Incarnation, Moment};
 
@@ -27,6 +27,14 @@
     Waking,
 }
 
+/// A job of a contained kind that is on trial at a side.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct SideTrial {
+    /// The job; none if it is another entry's.
+    pub(crate) job: Option<JobId>,
+    pub(crate) until: Moment,
+}
+
 /// What an entry knows of a side.
 #[derive(Clone, Debug)]
 pub(crate) struct SideView {
@@ -54,6 +62,9 @@
     pub(crate) condition: TargetCondition,
     pub(crate) is_cold: bool,
     pub(crate) pace_percent: u32,
+    /// The contained kind whose tasks alone run there.
+    pub(crate) kept_for: Option<TaskKind>,
+    pub(crate) trial: Option<SideTrial>,
     /// When this entry last ordered a start there.
     pub(crate) last_start: Moment,
     /// The runs ordered here that are not known to be over.
@@ -84,6 +95,8 @@
             condition: TargetCondition::Absent,
             is_cold: false,
             pace_percent: 100,
+            kept_for: None,
+            trial: None,
             last_start: Moment::default(),
             runs: IndexMap::new(),
             free: Room::default(),
@@ -197,6 +210,12 @@
         Some(news)
     }
 
+    /// Whether another job of a contained kind is on trial there.
+    pub(crate) fn is_tried_by_other(&self, now: Moment, job: JobId) -> bool {
+        self.trial
+            .is_some_and(|trial| trial.job != Some(job) && now < trial.until)
+    }
+
     /// Whether its target has a label.
     pub(crate) fn has_label(&self, label: &str) -> bool {
         let labels = self.target.iter().flat_map(|target| &target.labels);
--- a/crates/mastknot_core/src/scheduler/submitting.rs
+++ b/crates/mastknot_core/src/scheduler/submitting.rs
@@ -7,7 +7,9 @@
 use super::job_scheduler::JobScheduler;
 use super::order_key::JobTimes;
 use super::{CallerId, SchedulerDecision, SchedulerEffect};
-use crate::job::{AttemptNumbers, FailureCause, JobAnswer, JobId, JobRequest, QueuePolicy};
+use crate::job::{
+    AttemptNumbers, FailureCause, JobAnswer, JobId, JobRequest, QueuePolicy, TaskKind,
+};
 use crate::types::{Moment, WallTime};
 
 impl JobScheduler {
@@ -33,7 +35,12 @@
         let expected = steps
             .map(|step| self.run_times.expect(&policy.name, step.estimate))
             .collect();
+        let kinds = request.steps.iter();
+        let kinds = kinds
+            .map(|step| TaskKind::new(&policy.name, step.image.as_deref()))
+            .collect();
         let mut job = ActiveJob {
+            kinds,
             expected,
             patience_ends: now,
             tasks: ActiveJob::tasks_of(&request),
@@ -62,6 +69,7 @@
             job: id,
             request_id: Arc::clone(&job.request.request_id),
             queue: Arc::clone(&job.policy.name),
+            kind: job.kinds.first().copied().unwrap_or_default(),
             config_version: job.policy.version,
             tasks: job.tasks.len(),
             objective_ms: objective.as_millis() as u64,
@@ -73,7 +81,7 @@
         self.decided(taken);
         self.queue_job(now, id);
         self.give_up_known(now, id);
-        if self.has_no_hall_left() {
+        if self.has_no_hall_left() || self.has_closed_part(id) {
             self.refuse_not_begun(now, id);
         }
     }
@@ -122,6 +130,10 @@
 
     /// Gives a job its place among the waiting ones, or takes it away.
     pub(super) fn queue_job(&mut self, now: Moment, id: JobId) {
+        let Some(job) = self.jobs.get(&id) else {
+            return;
+        };
+        let is_contained = self.contained_kind(job).is_some();
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
         };
@@ -129,7 +141,7 @@
             self.waiting.remove(&key);
         }
         if job.has_waiting() {
-            let key = job.order_key(now);
+            let key = job.order_key(now, is_contained);
             job.key = Some(key);
             self.waiting.insert(key, id);
         }
--- a/crates/mastknot_core/src/scheduler/suspects.rs
+++ b/crates/mastknot_core/src/scheduler/suspects.rs
@@ -14,10 +14,12 @@
 impl JobScheduler {
     /// A side tells of a crash. Whoever owns the runs, each entry learns what ran there.
     pub(super) fn note_crash(&mut self, now: Moment, crash: &TargetCrash) {
-        if !self.crashes.note(now, crash) {
+        let blamed = self.containment.blamed(crash);
+        if !self.crashes.note(now, &blamed) {
             return;
         }
         self.counters.target_crashes += 1;
+        self.contain_guilty_kinds(now, crash);
         for crashed in &crash.runs {
             self.give_up_guilty(now, crashed.run.task);
         }
@@ -34,6 +36,7 @@
         for task in tasks {
             self.give_up_guilty(now, task);
         }
+        self.give_up_suspect(now, id);
     }
 
     /// A task that crashes its targets is never started again: each start would cost a target, and all that
@@ -58,6 +61,15 @@
         self.answer(now, task.job, JobAnswer::Failed { cause });
     }
 
+    /// How long a task ran until its last target crashed, if it is kept apart from others by itself: tasks of contained
+    /// kinds are kept apart by job.
+    pub(super) fn suspect_by_itself(&self, job: &ActiveJob, task: usize) -> Option<Duration> {
+        if self.kept_apart(job.kind(task)).is_some() {
+            return None;
+        }
+        self.crashes.suspect_ran(&job.tasks[task].name)
+    }
+
     /// Whether a side runs another suspect of this entry whose targets crashed after about the same time: if its
     /// target crashed, nothing would tell which of them did it.
     pub(super) fn holds_like_suspect(&self, now: Moment, ran: Duration, side: &SideView) -> bool {
@@ -71,6 +83,10 @@
     /// Whether another task of the job is on trial that may have crashed the same target: if it did, the job is
     /// answered, and this one need not cost a target of its own.
     pub(super) fn waits_for_trial(&self, now: Moment, job: &ActiveJob, task: usize) -> bool {
+        if self.kept_apart(job.kind(task)).is_some() {
+            // It has a target for itself: all its tasks cost one together.
+            return false;
+        }
         let ran = self.crashes.suspect_ran(&job.tasks[task].name);
         let Some(ran) = ran.filter(|ran| *ran <= SOON) else {
             return false;
--- a/crates/mastknot_core/tests/target_crashes.rs
+++ b/crates/mastknot_core/tests/target_crashes.rs
@@ -6,7 +6,7 @@
 use mastknot_core::agent::{
     AgentDecision, AgentEffect, AgentEvent, LookFailure, OrderOutcome, TargetReport,
 };
-use mastknot_core::job::{CrashedRun, EndOfRun, TargetCrash, TargetId};
+use mastknot_core::job::{CrashedRun, EndOfRun, TargetCrash, TargetId, TaskKind};
 
 fn crashes(effects: &[AgentEffect]) -> Vec<TargetCrash> {
     let crashes = effects.iter().filter_map(|effect| match effect {
@@ -19,6 +19,7 @@
 fn crashed(job: u64, ran_ms: u32) -> CrashedRun {
     CrashedRun {
         run: run(job),
+        kind: TaskKind::default(),
         ran_ms,
         has_begun: true,
     }
--- a/crates/mastknot_entry/src/jobs/job_logs.rs
+++ b/crates/mastknot_entry/src/jobs/job_logs.rs
@@ -13,11 +13,12 @@
             job,
             request_id,
             queue,
+            kind,
             config_version,
             tasks,
             objective_ms,
             waiting_jobs,
-        } => info!(target: DECISION, job:%, request_id:%, queue:%, config_version, tasks,
+        } => info!(target: DECISION, job:%, request_id:%, queue:%, kind:%, config_version, tasks,
             objective_ms, waiting_jobs; "job_taken"),
         SchedulerDecision::Rejoined { job, request_id } => {
             info!(target: DECISION, job:%, request_id:%; "job_rejoined");
@@ -47,6 +48,12 @@
             ran_ms,
         } => warn!(target: DECISION, task:%, request_id:%, crashes = ran_ms.len(), ran_ms:?;
             "task_given_up"),
+        SchedulerDecision::KindContained { kind, targets } => {
+            warn!(target: DECISION, kind:%, targets; "kind_contained");
+        }
+        SchedulerDecision::KindReleased { kind } => {
+            info!(target: DECISION, kind:%; "kind_released");
+        }
         SchedulerDecision::Answered {
             job,
             request_id,
--- a/crates/mastknot_virtual/src/jobs/bad_tasks.rs
+++ b/crates/mastknot_virtual/src/jobs/bad_tasks.rs
@@ -34,6 +34,12 @@
         crash: TaskCrash,
     ) -> JobId {
         let job = self.submit(at, entry, tasks, work);
+        self.let_crash(job, crash);
+        job
+    }
+
+    /// Lets the first tasks of a job crash each target on which they start.
+    pub fn let_crash(&mut self, job: JobId, crash: TaskCrash) {
         for index in 0..crash.tasks {
             let task = TaskRef {
                 job,
@@ -42,7 +48,6 @@
             };
             self.crashing.insert(task, crash);
         }
-        job
     }
 
     /// Hands in a job as [`JobSystem::submit`] does, the first task of which every target runs as if it were in
--- a/crates/mastknot_virtual/src/jobs/callers.rs
+++ b/crates/mastknot_virtual/src/jobs/callers.rs
@@ -21,6 +21,7 @@
         };
         job.tries += 1;
         let request = job.request.clone();
+        let queue = Arc::clone(&job.queue);
         let caller = CallerId(self.next_caller);
         self.next_caller += 1;
         let node = &self.entries[entry];
@@ -39,7 +40,7 @@
             return;
         }
         let policy = QueuePolicy {
-            name: Arc::from("queue"),
+            name: queue,
             service: Arc::from("service"),
             priority: 0,
             max_attempts: 4,
--- a/crates/mastknot_virtual/src/jobs/job_system.rs
+++ b/crates/mastknot_virtual/src/jobs/job_system.rs
@@ -78,6 +78,8 @@
 pub(super) struct VirtualJob {
     pub(super) request: JobRequest,
     pub(super) work: u64,
+    /// The queue that it is handed in to.
+    pub(super) queue: Arc<str>,
     pub(super) tries: u32,
     /// Its callers have left for good.
     pub(super) has_left: bool,
@@ -206,6 +208,18 @@
 
     /// Hands in a job of `tasks` tasks of `work` each at a time and an entry.
     pub fn submit(&mut self, at: Duration, entry: usize, tasks: u16, work: Duration) -> JobId {
+        self.submit_to("queue", at, entry, tasks, work)
+    }
+
+    /// Hands in a job to a queue.
+    pub fn submit_to(
+        &mut self,
+        queue: &str,
+        at: Duration,
+        entry: usize,
+        tasks: u16,
+        work: Duration,
+    ) -> JobId {
         let id = JobId(0x1000 + self.jobs.len() as u64);
         let request = JobRequest {
             id,
@@ -225,6 +239,7 @@
         let job = VirtualJob {
             request,
             work: work.as_micros() as u64,
+            queue: Arc::from(queue),
             tries: 0,
             has_left: false,
         };
--- a/crates/mastknot_virtual/src/jobs/observing.rs
+++ b/crates/mastknot_virtual/src/jobs/observing.rs
@@ -61,4 +61,10 @@
         let sides = self.sides.iter().filter_map(|node| node.core.as_ref());
         sides.map(|core| core.free().cpu_millis).collect()
     }
+
+    /// How often entries have kept a kind of tasks to a part of the targets.
+    pub fn kinds_contained(&self) -> u64 {
+        let entries = self.entries.iter().filter_map(|node| node.core.as_ref());
+        entries.map(|core| core.counters().kinds_contained).sum()
+    }
 }
