feat(scheduler): long work goes to fast targets

Cause: a target was chosen by how full it was. Change: entries learn how fast each class of targets is from the runs of the same queue on different classes; a target on which a task would take the time that is left for it is avoided, and fast ones are kept emptier than slow ones by a little. Run times are learned as work on the middle of all targets. Targets of equal speed are rated as before; nothing depends on a single target's own past.

--- a/crates/mastknot_core/src/job/side_report.rs
+++ b/crates/mastknot_core/src/job/side_report.rs
@@ -1,4 +1,5 @@
 use std::sync::Arc;
+use std::time::Duration;
 
 use bincode::{Decode, Encode};
 
@@ -33,6 +34,13 @@
     pub ran_ms: u32,
 }
 
+impl EndedRun {
+    /// How long it ran.
+    pub fn ran(&self) -> Duration {
+        Duration::from_millis(u64::from(self.ran_ms))
+    }
+}
+
 /// Whether a target takes work.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Encode, Decode)]
 pub enum TargetCondition {
--- a/crates/mastknot_core/src/scheduler/active_job.rs
+++ b/crates/mastknot_core/src/scheduler/active_job.rs
@@ -36,8 +36,8 @@
     pub(crate) crashes: u32,
     /// Sides where it failed or stood still.
     pub(crate) avoided: Vec<NodeName>,
-    /// How long the run took that did its work.
-    pub(crate) ran: Duration,
+    /// How long the run that did its work would have taken on the middle of all targets.
+    pub(crate) work: Duration,
 }
 
 /// A job that has not been answered, or of which something may still run.
@@ -86,7 +86,7 @@
                     unclear_sides: 0,
                     crashes: 0,
                     avoided: Vec::new(),
-                    ran: Duration::ZERO,
+                    work: Duration::ZERO,
                 });
             }
         }
@@ -152,11 +152,11 @@
         self.starts > self.not_begun
     }
 
-    /// The longest time that a task of a finished step took.
-    pub(crate) fn longest_run(&self, step: u16) -> Option<Duration> {
+    /// The longest work of a task of a finished step.
+    pub(crate) fn longest_work(&self, step: u16) -> Option<Duration> {
         let of_step = self.tasks.iter().filter(|task| task.name.step == step);
-        let ran = of_step.map(|task| (task.state == TaskState::Done).then_some(task.ran));
-        ran.collect::<Option<Vec<Duration>>>()?.into_iter().max()
+        let work = of_step.map(|task| (task.state == TaskState::Done).then_some(task.work));
+        work.collect::<Option<Vec<Duration>>>()?.into_iter().max()
     }
 
     /// The longest chain of work that is left, by what its steps are expected to take.
@@ -181,11 +181,11 @@
     /// How long a step took on sound targets: the tasks of a step have about the same work, so one that ran for much
     /// longer than most stood on a slow target.
     fn sound_time(&self, step: u16) -> Option<Duration> {
-        let longest = self.longest_run(step)?;
+        let longest = self.longest_work(step)?;
         let of_step = self.tasks.iter().filter(|task| task.name.step == step);
-        let mut ran: Vec<Duration> = of_step.map(|task| task.ran).collect();
-        ran.sort_unstable();
-        let middle = ran.get(ran.len().saturating_sub(1) / 2)?;
+        let mut work: Vec<Duration> = of_step.map(|task| task.work).collect();
+        work.sort_unstable();
+        let middle = work.get(work.len().saturating_sub(1) / 2)?;
         Some(longest.min(middle.mul_f64(MOST_UNEVEN)))
     }
 
--- a/crates/mastknot_core/src/scheduler/job_ends.rs
+++ b/crates/mastknot_core/src/scheduler/job_ends.rs
@@ -1,7 +1,6 @@
 //! Ends of runs and of jobs.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use super::SchedulerDecision;
 use super::active_job::TaskState;
@@ -27,6 +26,7 @@
             return;
         };
         self.count_end(ended.end);
+        let pace = self.sides.get(side).map_or(1.0, |view| self.pace_at(view));
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
         };
@@ -45,7 +45,7 @@
         match ended.end {
             EndOfRun::Done => {
                 task.state = TaskState::Done;
-                task.ran = Duration::from_millis(u64::from(ended.ran_ms));
+                task.work = ended.ran().div_f64(pace);
             }
             EndOfRun::Failed {
                 is_target_suspect: false,
@@ -71,7 +71,8 @@
         }
         let kind = job.kind(place);
         let room = job.step(place).room;
-        let ran = job.tasks[place].ran;
+        let guess = job.step(place).estimate;
+        let queue = Arc::clone(&job.policy.name);
         let failures = job.tasks[place].counted_failures();
         let crashes = job.tasks[place].crashes;
         let has_failed = failures >= job.policy.max_attempts.max(1);
@@ -96,7 +97,8 @@
         }
         if ended.end == EndOfRun::Done {
             self.learn_run_time(id, run.task.step);
-            self.kind_loads.note(kind, &room, ran);
+            self.learn_pace(&queue, side, guess, ended.ran());
+            self.kind_loads.note(kind, &room, ended.ran());
             self.containment.note_done(kind);
         }
         if ended.end == EndOfRun::NotRun(NotRunCause::OtherSuspect) {
@@ -110,10 +112,10 @@
         let Some(job) = self.jobs.get(&id) else {
             return;
         };
-        if let Some(ran) = job.longest_run(step)
+        if let Some(work) = job.longest_work(step)
             && let Some(spec) = job.request.steps.get(usize::from(step))
         {
-            self.run_times.note(&job.policy.name, spec.estimate, ran);
+            self.run_times.note(&job.policy.name, spec.estimate, work);
         }
     }
 
--- a/crates/mastknot_core/src/scheduler/job_scheduler.rs
+++ b/crates/mastknot_core/src/scheduler/job_scheduler.rs
@@ -5,6 +5,7 @@
 
 use super::active_job::ActiveJob;
 use super::active_links::ActiveLinks;
+use super::class_paces::ClassPaces;
 use super::containment::Containment;
 use super::crash_memory::CrashMemory;
 use super::kind_loads::KindLoads;
@@ -55,6 +56,7 @@
     /// Crashes of targets, and what ran there.
     pub(super) crashes: CrashMemory,
     pub(super) kind_loads: KindLoads,
+    pub(super) class_paces: ClassPaces,
     /// Kinds of tasks that are kept to a part of the targets.
     pub(super) containment: Containment,
     /// Those of them that have a part.
@@ -95,6 +97,7 @@
             run_times: RunTimes::default(),
             crashes: CrashMemory::default(),
             kind_loads: KindLoads::default(),
+            class_paces: ClassPaces::default(),
             containment: Containment::default(),
             parted_kinds: Vec::new(),
             handled: Moment::default(),
--- a/crates/mastknot_core/src/scheduler/mod.rs
+++ b/crates/mastknot_core/src/scheduler/mod.rs
@@ -5,6 +5,7 @@
 
 mod active_job;
 mod active_links;
+mod class_paces;
 mod contained_kinds;
 mod containment;
 mod crash_memory;
@@ -25,6 +26,7 @@
 mod side_view;
 mod submitting;
 mod suspects;
+mod target_classes;
 
 pub use job_scheduler::JobScheduler;
 pub use order_key::{OrderKey, Outlook};
--- a/crates/mastknot_core/src/scheduler/placing.rs
+++ b/crates/mastknot_core/src/scheduler/placing.rs
@@ -224,7 +224,8 @@
         });
         let best = fitting.min_by_key(|(place, name, side)| {
             let unlikely = u32::from(is_unlikely(place)) * UNLIKELY_PENALTY;
-            score(job, task, name, side) + self.apart_penalty(job, task, name) + unlikely
+            let speed = self.speed_penalty(now, job, task, side);
+            score(job, task, name, side) + self.apart_penalty(job, task, name) + unlikely + speed
         });
         best.map(|(_, name, _)| name.clone())
     }
--- a/crates/mastknot_core/src/scheduler/side_view.rs
+++ b/crates/mastknot_core/src/scheduler/side_view.rs
@@ -1,4 +1,5 @@
 use std::collections::VecDeque;
+use std::sync::Arc;
 use std::time::Duration;
 
 use indexmap::IndexMap;
@@ -216,6 +217,11 @@
             .is_some_and(|trial| trial.job != Some(job) && now < trial.until)
     }
 
+    /// The class of its target, if that names one.
+    pub(crate) fn class(&self) -> Option<&Arc<str>> {
+        self.target.as_ref()?.labels.first()
+    }
+
     /// Whether its target has a label.
     pub(crate) fn has_label(&self, label: &str) -> bool {
         let labels = self.target.iter().flat_map(|target| &target.labels);
--- a/crates/mastknot_virtual/src/jobs/job_system.rs
+++ b/crates/mastknot_virtual/src/jobs/job_system.rs
@@ -114,6 +114,8 @@
     pub(super) hides_resizes: bool,
     /// Whether targets start again under the names that they had.
     pub(super) names_kept: NamesKept,
+    /// The speeds of targets in percent, in turn; none if they are alike.
+    pub(super) speeds: Vec<u64>,
     /// The longest time for which targets hold their runs.
     pub(super) longest_hold: Duration,
     /// Whether targets start what does not fit.
@@ -169,6 +171,7 @@
             has_steady_clocks: false,
             hides_resizes: false,
             names_kept: NamesKept::None,
+            speeds: Vec::new(),
             longest_hold: LONGEST_HOLD,
             has_unguarded_targets: false,
             task_moods: HashMap::new(),
@@ -211,6 +214,25 @@
         self.submit_to("queue", at, entry, tasks, work)
     }
 
+    /// Lets targets differ in speed: the speeds in percent go to their sides in turn, and each is a class of its own.
+    pub fn set_speeds(&mut self, percents: &[u64]) {
+        self.speeds = percents.to_vec();
+    }
+
+    /// The speed of a side's target in percent, and its class.
+    pub(super) fn speed_of(&self, side: usize) -> Option<(u64, Arc<str>)> {
+        let count = self.speeds.len();
+        let percent = *self.speeds.get(side.checked_rem(count)?)?;
+        Some((percent, Arc::from(format!("speed-{percent}"))))
+    }
+
+    /// Lets the caller of a job guess this time for each of its tasks.
+    pub fn set_guess(&mut self, job: JobId, guess: Duration) {
+        let job = self.jobs.get_mut(&job);
+        let steps = job.into_iter().flat_map(|job| &mut job.request.steps);
+        steps.for_each(|step| step.estimate = guess);
+    }
+
     /// Hands in a job to a queue.
     pub fn submit_to(
         &mut self,
--- a/crates/mastknot_virtual/src/jobs/processes.rs
+++ b/crates/mastknot_virtual/src/jobs/processes.rs
@@ -190,6 +190,8 @@
                     accelerators: 0,
                 };
                 let work = self.jobs.get(&run.task.job).map_or(MILLI, |job| job.work);
+                let percent = self.speed_of(side).map_or(100, |(percent, _)| percent);
+                let work = work * 100 / percent;
                 let task_mood = self.task_moods.get(&run.task).copied();
                 let start = VirtualStart {
                     run,
--- a/crates/mastknot_virtual/src/jobs/targets.rs
+++ b/crates/mastknot_virtual/src/jobs/targets.rs
@@ -60,11 +60,12 @@
         if self.hides_resizes {
             capacity.cpu_millis = self.settings.cpu_millis;
         }
+        let speed = self.speed_of(side);
         let profile = TargetProfile {
             id: target.id.clone(),
             service: Arc::from("service"),
             capacity,
-            labels: Vec::new(),
+            labels: speed.into_iter().map(|(_, class)| class).collect(),
         };
         let event = AgentEvent::TargetReported(TargetReport {
             profile,
