--- a/crates/mastknot_core/src/scheduler/contained_kinds.rs
+++ b/crates/mastknot_core/src/scheduler/contained_kinds.rs
@@ -19,7 +19,7 @@
 /// All contained kinds together have no more than this part of the targets.
 const MOST_OF_TARGETS: f64 = 0.5;
 /// The other kinds keep so many times the room that they use: it is never filled without gaps, and some of them wait then.
-const OTHERS_HEADROOM: f64 = 1.25;
+const OTHERS_HEADROOM: f64 = 1.5;
 /// Added to the score of a target for a task of a contained kind when other tasks of its job run elsewhere: a job that
 /// crashes its targets then crashes one.
 const APART_PENALTY: u32 = 2_000;
