fix(agent, scheduler): tokens rise over lives that share a name only; classes of nearly equal speed are alike

Where each life of a target has a new name, a token carried over could only make a side that restarts seem to fall behind its former one. Classes whose paces differ by the noise of guesses were rated differently in a crowd. Change: as the subject says.

--- a/crates/mastknot_core/src/agent/dial_backoff.rs
+++ b/crates/mastknot_core/src/agent/dial_backoff.rs
@@ -3,7 +3,7 @@
 /// The first pause before an entry is dialed again.
 const FIRST_PAUSE: Duration = Duration::from_millis(20);
 /// The longest pause while dials fail: a failed dial costs an entry that is down nothing, and its return is noticed
-/// soon (dials each 500 ms instead cost 0.014 of the worth of a day with restarts, `docs/design/platform.md`).
+/// soon.
 const LONGEST_AFTER_FAILURE: Duration = Duration::from_millis(100);
 /// The longest pause after links that ended soon: greeting and settling a link cost more than it gave.
 const LONGEST_AFTER_SHORT_LINK: Duration = Duration::from_secs(2);
--- a/crates/mastknot_core/src/agent/dial_order.rs
+++ b/crates/mastknot_core/src/agent/dial_order.rs
@@ -3,9 +3,8 @@
 use crate::job::KnownEntry;
 use crate::types::{NodeName, pair_rank};
 
-/// So many entries are dialed at once, those first that are likely to use this side: four of them do, and of 55
-/// entries the 16 first hold nearly all of those (worked out from the ranks). All 55 at once are 240 greetings at each
-/// entry as a large fleet starts, on 0.12 of a core.
+/// So many entries are dialed at once, those first that are likely to use this side. Were all of them dialed, each entry
+/// would have to answer every side at once as a large fleet starts.
 const DIALED_AT_ONCE: usize = 16;
 /// The others are dialed within this: they are for times when tasks wait or entries are lost.
 const DIALED_WITHIN: Duration = Duration::from_secs(3);
--- a/crates/mastknot_core/src/agent/learning.rs
+++ b/crates/mastknot_core/src/agent/learning.rs
@@ -10,9 +10,8 @@
 };
 use crate::types::Moment;
 
-/// A side fetches only what it is still to hold after this. Several entries tell of a version within a heartbeat
-/// (80 ms), and while many links are made anew each entry chooses other holders for a moment: without a
-/// pause all 62 links of 11 entries, reset at once, cost 3.6 MB in a second, with it less than twice the usual 1.3 MB.
+/// A side fetches only what it is still to hold after this: several entries tell of a version within a heartbeat, and
+/// while many links are made anew each entry chooses other holders for a moment.
 const PATIENCE: Duration = Duration::from_millis(200);
 
 impl TargetAgent {
--- a/crates/mastknot_core/src/agent/target_link.rs
+++ b/crates/mastknot_core/src/agent/target_link.rs
@@ -49,8 +49,8 @@
 
 /// A target's clock may be slow by this factor.
 const SLOW_CLOCK: f64 = 1.03;
-/// A target's clock is read again after this time: by then it may be 60 ms off, the part of a hold that is lost to
-/// caution. After 40 s without a reading holds are up to 0.8 s too long (worked out), and runs outlive their side by that.
+/// A target's clock is read again after this time: what it may be off by then is lost of each hold to caution, and
+/// without a reading holds would be too long by it.
 const CLOCK_READ_EACH: Duration = Duration::from_secs(2);
 /// Without a reading for this long nothing is started: the process or its VM stood still.
 const CLOCK_STALE: Duration = Duration::from_secs(3);
@@ -108,12 +108,17 @@
         Some(reading.at + Self::held_for(Duration::from_millis(left)))
     }
 
-    /// Forgets a life of the target; the next one starts with no ends. Its token is above those before: under the same
-    /// name it would carry out late orders that were meant for the life before.
+    /// Forgets a life of the target; the next one starts with no ends. If lives share a name its token is above those
+    /// before: it would carry out late orders that were meant for the life before.
     pub(crate) fn forget_instance(&mut self) {
-        let token_floor = self.token.map_or(self.token_floor, |token| token + 1);
+        let reported = self
+            .profile
+            .as_ref()
+            .map_or(0, |profile| profile.id.born_ms);
+        let shares_name = self.born_ms.max(reported) != 0;
+        let used = self.token.map_or(self.token_floor, |token| token + 1);
         *self = Self {
-            token_floor,
+            token_floor: if shares_name { used } else { 0 },
             heard: self.heard,
             is_settled: true,
             has_lost_instance: true,
--- a/crates/mastknot_core/src/agent/target_pace.rs
+++ b/crates/mastknot_core/src/agent/target_pace.rs
@@ -1,8 +1,6 @@
 use std::time::Duration;
 
-/// So much time of runs is looked back on, in milliseconds. Ten runs at once fill it in 50 ms, a single
-/// run of an ordinary task in two or three: callers' guesses scatter by a factor of about 1.5, and a
-/// slow target is told from sound ones by a factor of 2.5.
+/// So much time of runs is looked back on, in milliseconds: a few runs, as callers' guesses scatter.
 const WINDOW_MS: f64 = 500.0;
 /// Progress of a run is looked at over at least this time: targets tell whole percents.
 pub(super) const SHORTEST_STRETCH: Duration = Duration::from_millis(20);
--- a/crates/mastknot_core/src/job/lease_terms.rs
+++ b/crates/mastknot_core/src/job/lease_terms.rs
@@ -1,8 +1,7 @@
 use std::time::Duration;
 
-/// Nothing runs over a link on standby and news of versions does not wait for its heartbeat, so it only shows that
-/// the other end lives. Each second it was a third of all messages of 55 entries and 240 sides (24,500 of 72,000 a
-/// second, virtual time), each 4 s an eighth; a link that is dead is known 350 ms after it was woken.
+/// Nothing runs over a link on standby and news of versions does not wait for its heartbeat: it only shows that the other
+/// end lives, and there are as many such links as pairs of entry and side.
 const STANDBY_HEARTBEAT: Duration = Duration::from_secs(8);
 /// Three heartbeats may be lost.
 const STANDBY_SILENCE: Duration = Duration::from_secs(28);
--- a/crates/mastknot_core/src/job/target_crash.rs
+++ b/crates/mastknot_core/src/job/target_crash.rs
@@ -4,8 +4,8 @@
 
 use super::{RunId, TargetId, TaskKind};
 
-/// Two times that the same task ran until its target crashed differ by less than this: the crash is noticed 1 to
-/// 6 ms late (by the logs of sides whose targets crashed 10 ms after a start), and the clock of the start is that of the order.
+/// Two times that the same task ran until its target crashed differ by less than this: the crash is noticed some
+/// milliseconds late, and the clock of the start is that of the order.
 const ALIKE_SLACK: Duration = Duration::from_millis(10);
 /// Longer runs may differ by this part of the shorter one besides.
 const ALIKE_SHARE: u32 = 64;
--- a/crates/mastknot_core/src/scheduler/active_job.rs
+++ b/crates/mastknot_core/src/scheduler/active_job.rs
@@ -169,8 +169,7 @@
 
     /// When it had to be done to be in time, by how long its tasks ran; none as long as one is not done.
     ///
-    /// Callers go by the work, not by its guess: of 1,829 jobs of a day that were called late by the guess 649 had been
-    /// done in time (that day's logs).
+    /// Callers go by the work, not by its guess.
     pub(crate) fn observed_objective(&self) -> Option<Moment> {
         let steps = 0..self.request.steps.len() as u16;
         let took: Option<Vec<Duration>> = steps.map(|step| self.sound_time(step)).collect();
--- a/crates/mastknot_core/src/scheduler/active_links.rs
+++ b/crates/mastknot_core/src/scheduler/active_links.rs
@@ -64,8 +64,7 @@
 
     /// Links of lower ranks that are of use again take the place of others, once all places are taken.
     ///
-    /// Otherwise nobody uses targets that come back to a crowd: 18 of 70 that were gone for four seconds stood empty, and
-    /// up to 281 jobs a second were refused at a load of 0.95 (virtual time, `large_fleet.rs`; none with this).
+    /// Otherwise nobody uses targets that come back to a crowd.
     fn wake_lower_ranks(&mut self, now: Moment) {
         let used = self.sides.values().filter(|side| is_in_use(side));
         let mut ranks: Vec<u32> = used.map(|side| side.rank).collect();
@@ -165,9 +164,8 @@
     /// Puts links beyond the number that is used now on standby, where nothing runs: those whose targets take no
     /// work, then the highest ranks.
     ///
-    /// Links are made in use. Without this all processes that start in a crowd keep all links: with 55 entries and
-    /// 240 sides 240 each, and 0.38 of the starts were turned away for five seconds. Links to targets that are gone
-    /// are always idle; if they kept their places they would crowd out the others (`large_fleet.rs`).
+    /// Links are made in use: without this all processes that start in a crowd keep all of them, and most starts meet those
+    /// of others. Links to targets that are gone are always idle; if they kept their places they would crowd out the others.
     fn stand_by_surplus(&mut self) {
         let mut used: Vec<(bool, u32, NodeName)> = Vec::new();
         for (name, side) in &self.sides {
--- a/crates/mastknot_core/src/scheduler/class_paces.rs
+++ b/crates/mastknot_core/src/scheduler/class_paces.rs
@@ -15,6 +15,8 @@
 /// A run that took this many times its guess, or less by as much, tells no more than one at the bound: a few in a
 /// hundred take many times as long as the rest on any target.
 const MOST_OFF: f64 = 3.0;
+/// Where the slowest class takes less than this many times as long as the fastest, all count as alike.
+const LEAST_UNEQUAL: f64 = 1.1;
 /// The most pairs of queue and class that are kept.
 const MAX_CELLS: usize = 512;
 
@@ -85,12 +87,21 @@
             (sum + log * count, all + count)
         });
         let middle = if count > 0.0 { sum / count } else { 0.0 };
-        let paces = logs
-            .into_iter()
-            .map(|(class, log)| (class, (log - middle).exp()));
+        let slowest = logs.values().copied().fold(f64::MIN, f64::max);
+        let fastest = logs.values().copied().fold(f64::MAX, f64::min);
+        if slowest - fastest < LEAST_UNEQUAL.ln() {
+            logs.clear();
+        }
+        let paces = logs.into_iter();
+        let paces = paces.map(|(class, log)| (class, (log - middle).exp()));
         self.paces = paces.collect();
     }
 
+    /// Whether no class is known to be faster than another.
+    pub(crate) fn are_alike(&self) -> bool {
+        self.paces.is_empty()
+    }
+
     /// The mean of what the cells of each group leave unexplained by the other.
     fn means<'a>(
         &'a self,
--- a/crates/mastknot_core/src/scheduler/containment.rs
+++ b/crates/mastknot_core/src/scheduler/containment.rs
@@ -6,8 +6,7 @@
 
 /// So many runs at least have to do their work without a crash before their kind counts as sound.
 const LEAST_SOUND: u32 = 32;
-/// So many times the runs that were done for each crash have to be done without one: by chance that is seen once in
-/// twenty times.
+/// So many times the runs that were done for each crash have to be done without one: chance hardly explains that.
 const SOUND_FACTOR: u32 = 3;
 /// No kind is released sooner after its last crash: others may not have been heard of yet.
 const LEAST_CONTAINED: Duration = Duration::from_secs(1);
--- a/crates/mastknot_core/src/scheduler/crash_memory.rs
+++ b/crates/mastknot_core/src/scheduler/crash_memory.rs
@@ -6,20 +6,18 @@
 
 /// For how long crashes are remembered: a caller without an answer comes again a few times, some seconds apart.
 const CRASHES_REMEMBERED: Duration = Duration::from_secs(60);
-/// The most crashes that are remembered; the oldest are forgotten first. With 40 runs each they take 0.7 MB (worked
-/// out from the sizes of the types), whatever keys callers choose.
+/// The most crashes that are remembered, whatever keys callers choose; the oldest are forgotten first.
 const MAX_CRASHES: usize = 256;
 /// A task under which so many targets have crashed is given up, whatever else speaks for it: each further start may
-/// cost a target and all that runs there. In 200 histories of 6 to 19 crashes of targets, racks and halls each (virtual time, 11
-/// targets, 148,000 jobs) this many gave up no innocent job, three 260.
+/// cost a target and all that runs there. Fewer would give up innocent ones in a storm of crashes.
 const MOST_CRASHES: usize = 5;
 
 /// A target that crashes so soon after a start may well have been crashed by it: runs of innocent tasks are seldom
 /// that young when their target crashes for the second time.
 pub(crate) const SOON: Duration = Duration::from_millis(100);
-/// So many alike crashes soon after its start tell that a task did it. No innocent task had two in the histories above.
+/// So many alike crashes soon after its start tell that a task did it.
 const ALIKE_IF_SOON: usize = 2;
-/// So many tell it for later ones: two alike at any time gave up 93 innocent jobs in the histories above.
+/// So many tell it for later ones, which innocent tasks have by chance.
 const ALIKE_IF_LATER: usize = 3;
 
 /// What crashes of targets say of a task.
--- a/crates/mastknot_core/src/scheduler/job_ends.rs
+++ b/crates/mastknot_core/src/scheduler/job_ends.rs
@@ -206,8 +206,7 @@
     }
 
     /// Failures of the task that count. What targets seem to be at fault for counts as well once it has come about
-    /// on several of them: where half of the jobs are bad all targets seem so, and a task was started 98 times
-    /// (virtual time, 11 targets).
+    /// on several of them: where half of the jobs are bad all targets seem so.
     fn counted_failures(&self) -> u32 {
         match self.unclear_sides >= SIDES_THAT_TELL {
             true => self.failures + self.unclear_ends,
--- a/crates/mastknot_core/src/scheduler/job_scheduler.rs
+++ b/crates/mastknot_core/src/scheduler/job_scheduler.rs
@@ -38,7 +38,7 @@
     /// Links whose sides have not answered the welcome yet, the oldest first.
     pub(super) greetings: IndexMap<SessionId, Greeting>,
     /// Before this no side is due for a heartbeat, silent for too long or rid of lost runs: steps until then
-    /// look at no side but that of their event. With 240 sides a step took 5.6 us when each looked at all.
+    /// look at no side but that of their event.
     pub(super) sides_due: Option<Moment>,
     /// Links came or went since the holders of the configuration were chosen.
     pub(super) is_holder_choice_stale: bool,
--- a/crates/mastknot_core/src/scheduler/placing.rs
+++ b/crates/mastknot_core/src/scheduler/placing.rs
@@ -30,8 +30,7 @@
 const PROBATION_PENALTY: u32 = 2_000;
 
 /// Added to the score of a target that is cold: as much as a full target far from the entry has, so that it gets work only
-/// when no warm one has room. A third of the targets cold at a load of 0.6, three times as slow: 0.977 of the jobs in time
-/// without, 0.984 with half of it, 0.999 with it (virtual time, `cold_targets.rs`).
+/// when no warm one has room.
 const COLD_PENALTY: u32 = 1_400;
 
 /// A side that may get a start.
--- a/crates/mastknot_core/src/scheduler/relaying.rs
+++ b/crates/mastknot_core/src/scheduler/relaying.rs
@@ -9,9 +9,8 @@
 use crate::types::{Moment, NodeName, stable_hash};
 
 /// So many sides hold the configuration for entries that start, or are turned away, while the store is out
-/// of reach. With 8 of 240, nine tenths of all sides may be lost before none is left in four cases of ten; an
-/// entry that still runs then gives it to others. All sides holding it cost eight times as many bytes a
-/// version at 62 sides.
+/// of reach: enough to outlast the loss of most sides, few enough to cost few bytes a version. An entry that still
+/// runs gives it to others too.
 const HOLDERS: usize = 8;
 /// The store usually tells of a version within milliseconds: only after this others are asked for it.
 const PATIENCE: Duration = Duration::from_millis(500);
--- a/crates/mastknot_core/src/scheduler/scheduler_settings.rs
+++ b/crates/mastknot_core/src/scheduler/scheduler_settings.rs
@@ -4,22 +4,18 @@
 use crate::relay::LinkRate;
 use crate::types::{Incarnation, NodeName};
 
-/// After a quarter of its objective a job's wait counts as time that its caller lost: the users price
-/// it so, and a caller that is refused then can still come back in time. Shorter waits refused more
-/// without serving more (`docs/POLICY.md`, round 1).
+/// A caller that is refused after a quarter of its objective can still come back in time.
 const DEFAULT_PATIENCE: f64 = 0.25;
 
 /// So many entries use a side: tasks of several entries fill its room, and each of them costs a heartbeat and
-/// news of each change both ways. On 55 entries and 240 sides (virtual time, 65 of 100 of all room in use) a
-/// run costs 34 messages with 64 links an entry (15 entries a side) and as much as on 4 entries and 17 sides,
-/// 10, with four entries a side; jobs in time are 1.000 with either, and 0.997 at a load of 0.9.
+/// news of each change both ways, whatever the size of the fleet.
 const DEFAULT_ENTRIES_PER_SIDE: usize = 4;
 
 /// An entry uses so many links at least, however many entries there are: a wide job finds choice.
 const DEFAULT_LEAST_LINKS: usize = 16;
 
-/// An entry uses no more links than this as a rule, however few entries there are: 64 targets of 16 cores
-/// hold 250 tasks.
+/// An entry uses no more links than this as a rule, however few entries there are: so many targets hold more than
+/// one entry has at a time.
 const DEFAULT_MOST_LINKS: usize = 64;
 
 /// What a [`JobScheduler`](super::JobScheduler) is set up with.
--- a/crates/mastknot_core/src/scheduler/side_links.rs
+++ b/crates/mastknot_core/src/scheduler/side_links.rs
@@ -74,7 +74,7 @@
     /// The side has answered the welcome: this link takes the place of the one before.
     ///
     /// A greeting alone proves nothing: it may have been held up since before its sender crashed, and then it
-    /// would close the link of the life that runs (in about half of all orders of arrival, `link_lives.rs`).
+    /// would close the link of the life that runs.
     fn take_link(&mut self, now: Moment, session: SessionId, greeting: Greeting) {
         let hello = greeting.hello;
         self.learn_drained_halls(now, &hello.drained);
--- a/crates/mastknot_core/src/scheduler/suspects.rs
+++ b/crates/mastknot_core/src/scheduler/suspects.rs
@@ -40,8 +40,7 @@
     }
 
     /// A task that crashes its targets is never started again: each start would cost a target, and all that
-    /// runs there, for seconds. One such task cost 9 of 11 targets within 160 ms when only its caller's time
-    /// bounded its starts.
+    /// runs there, for seconds.
     pub(super) fn give_up_guilty(&mut self, now: Moment, task: TaskRef) {
         let is_open = self.jobs.get(&task.job).is_some_and(|job| !job.is_over);
         if !is_open || self.crashes.standing(&task) != CrashStanding::Guilty {
--- a/crates/mastknot_core/src/scheduler/target_classes.rs
+++ b/crates/mastknot_core/src/scheduler/target_classes.rs
@@ -57,6 +57,9 @@
         task: usize,
         side: &SideView,
     ) -> u32 {
+        if self.class_paces.are_alike() {
+            return 0;
+        }
         let pace = self.pace_at(side);
         let slowest = self.class_paces.slowest();
         let expected = job.expected[usize::from(job.tasks[task].name.step)];
--- a/crates/mastknot_runtime/src/shared_store/entry_directory.rs
+++ b/crates/mastknot_runtime/src/shared_store/entry_directory.rs
@@ -11,7 +11,7 @@
 
 /// How long a watch of the entries usually waits. A connection may go silent for good, and a watch that has
 /// nothing to say is silent too: only the answer at its end tells them apart. The list is read anew after two
-/// such times, so an entry is missed for 8 s at most (50 s when a watch waited for 25 s), for 0.4 calls a second.
+/// such times.
 pub const DIRECTORY_WATCH_WAIT: Duration = Duration::from_secs(4);
 
 /// The listed entries: their names and values.
--- a/crates/mastknot_runtime/src/shared_store/operator_feed.rs
+++ b/crates/mastknot_runtime/src/shared_store/operator_feed.rs
@@ -36,9 +36,8 @@
 /// Sends what operators write: every configuration that is read or heard of, and the drained halls.
 ///
 /// A watch tells of a change at once, but may hear nothing for a while, or wait on a connection that is dead.
-/// So watches are short, and each is followed by a check that transfers values only if something has changed:
-/// a value of 350 KB that was read each second took a seventh of a link of 25 Mbit/s. The same check covers the keys of
-/// all halls, so that draining costs no further calls.
+/// So watches are short, and each is followed by a check that transfers values only if something has changed, as
+/// configurations may be large. The same check covers the keys of all halls, so that draining costs no further calls.
 pub async fn feed_operator_news<S: SharedStore>(
     store: S,
     settings: OperatorFeedSettings,
