fix(scheduler): a task that is done does not make its job a suspect

Cause: read over. A bystander of a crash that was started again and done still counted, so that its job was given up when its kind was contained. Change: only tasks that are not done count; the two lists of waiting jobs are made by one function. A test plays the containment on 55 entries and 240 sides.

--- a/crates/mastknot_core/src/scheduler/contained_kinds.rs
+++ b/crates/mastknot_core/src/scheduler/contained_kinds.rs
@@ -182,8 +182,9 @@
     }
 
     fn has_crashed_alike(&self, job: &ActiveJob) -> bool {
-        let mut tasks = job.tasks.iter().enumerate();
-        tasks.any(|(place, task)| {
+        let open = job.tasks.iter().enumerate();
+        let mut open = open.filter(|(_, task)| task.state != TaskState::Done);
+        open.any(|(place, task)| {
             let usual = self.kept_apart(job.kind(place));
             let own = self.crashes.suspect_ran(&task.name);
             usual
--- a/crates/mastknot_core/src/scheduler/placing.rs
+++ b/crates/mastknot_core/src/scheduler/placing.rs
@@ -49,7 +49,9 @@
         }
         self.refresh_outlooks(now);
         let candidates = self.candidates(now);
-        let (free, contained) = self.first_waiting();
+        // Jobs of contained kinds wait for targets of their own: neither sort holds the other up.
+        let free = first_jobs(self.waiting.range(..OrderKey::FIRST_CONTAINED));
+        let contained = first_jobs(self.waiting.range(OrderKey::FIRST_CONTAINED..));
         let misses = self.place_jobs(now, &free, &candidates);
         let contained_misses = self.place_jobs(now, &contained, &candidates);
         if misses + contained_misses > 0 {
@@ -57,20 +59,6 @@
         }
     }
 
-    /// The first jobs that wait, and the first of contained kinds: these wait for targets of their own, so that neither
-    /// holds the other up.
-    fn first_waiting(&self) -> (Vec<JobId>, Vec<JobId>) {
-        let first = |ids: &mut dyn Iterator<Item = &JobId>| {
-            let ids = ids.take(MAX_SCANNED).copied();
-            ids.collect::<Vec<JobId>>()
-        };
-        let mut free = self.waiting.range(..OrderKey::FIRST_CONTAINED);
-        let mut contained = self.waiting.range(OrderKey::FIRST_CONTAINED..);
-        let free = first(&mut free.by_ref().map(|(_, id)| id));
-        let contained = first(&mut contained.by_ref().map(|(_, id)| id));
-        (free, contained)
-    }
-
     /// Places what it can of these jobs; returns how many found too little room.
     fn place_jobs(&mut self, now: Moment, jobs: &[JobId], candidates: &[Candidate]) -> usize {
         let mut misses = 0;
@@ -289,6 +277,10 @@
     }
 }
 
+fn first_jobs<'a>(waiting: impl Iterator<Item = (&'a OrderKey, &'a JobId)>) -> Vec<JobId> {
+    waiting.take(MAX_SCANNED).map(|(_, id)| *id).collect()
+}
+
 fn is_suitable(job: &ActiveJob, task: usize, side: &SideView) -> bool {
     let spec = job.step(task);
     let Some(target) = &side.target else {
--- a/crates/mastknot_virtual/tests/contained_kinds.rs
+++ b/crates/mastknot_virtual/tests/contained_kinds.rs
@@ -75,6 +75,11 @@
     sides: 11,
 };
 
+const LARGE: Fleet = Fleet {
+    entries: 55,
+    sides: 240,
+};
+
 /// When a queue's jobs come, and which of them are bad.
 #[derive(Clone, Copy, Debug)]
 struct Span {
@@ -173,6 +178,19 @@
     }
 }
 
+#[test]
+fn the_same_holds_on_a_large_fleet() {
+    let span = Span {
+        from_ms: 3_000,
+        until_ms: 9_000,
+    };
+    let mut play = play(1, LARGE, 9_000, &[0], span);
+    play.system.run_until(millis(12_000));
+    assert_eq!(play.system.violations(), []);
+    let others = play.shares(&[1, 2], 3_000, 9_000);
+    assert!(worst(&others) >= WELL_SERVED, "{others:.2?}");
+}
+
 /// The kind is released once its tasks have shown to be sound: it has all targets again.
 #[test]
 fn a_kind_that_is_sound_again_is_released() {
