--- a/crates/mastknot_virtual/src/jobs/mod.rs
+++ b/crates/mastknot_virtual/src/jobs/mod.rs
@@ -14,6 +14,7 @@
 mod publishing;
 mod step_record;
 mod strikes;
+mod submitting;
 mod target_slot;
 mod targets;
 mod thin_links;
--- a/crates/mastknot_virtual/src/jobs/variants.rs
+++ b/crates/mastknot_virtual/src/jobs/variants.rs
@@ -1,5 +1,6 @@
 //! What processes and targets must not do, or need not do: tests see that the audit notices, or that it makes no difference.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use mastknot_core::agent::AgentEvent;
@@ -82,4 +83,16 @@
     pub fn unguard_targets(&mut self) {
         self.has_unguarded_targets = true;
     }
+
+    /// Lets targets differ in speed: the speeds in percent go to their sides in turn, and each is a class of its own.
+    pub fn set_speeds(&mut self, percents: &[u64]) {
+        self.speeds = percents.to_vec();
+    }
+
+    /// The speed of a side's target in percent, and its class.
+    pub(super) fn speed_of(&self, side: usize) -> Option<(u64, Arc<str>)> {
+        let count = self.speeds.len();
+        let percent = *self.speeds.get(side.checked_rem(count)?)?;
+        Some((percent, Arc::from(format!("speed-{percent}"))))
+    }
 }
