fix(side): a life whose first report left out its birth is the known one

Cause: the first report of a target that keeps its name did not say when its life began, the looks and the later reports did. A report with a birth was taken for one of another life, the target was asked and answered as itself, and the report counted as late; so did each report after it, for good. The side never heard that the target had less room, and would not have heard that it was leaving.

Evidence: the log of the side has `other_target_life` and `late_target_report` for `w-11@...547` each 200 ms from 1.5 s on to the end of the run, and no other event of the target; the worker shrank at 4.2 s, the run that was one too many began at 14.6 s.

Change: a report that names the birth which the looks are answered with is one of the known life.

Test: `a_life_whose_first_report_left_out_its_birth_is_the_known_one` failed before: the side still had the first profile.

--- a/crates/mastknot_core/src/agent/rebirths.rs
+++ b/crates/mastknot_core/src/agent/rebirths.rs
@@ -25,6 +25,13 @@
         }
     }
 
+    /// Whether the life that answers looks is this one, although the first report of it did not say when it began.
+    pub(super) fn has_answered_as(&self, target: &TargetId) -> bool {
+        let known = self.link.profile.as_ref().map(|profile| &profile.id);
+        let is_unsaid = known.is_some_and(|id| id.name == target.name && id.born_ms == 0);
+        is_unsaid && target.born_ms != 0 && target.born_ms == self.link.born_ms
+    }
+
     fn known_birth(&self) -> u64 {
         let reported = self.link.profile.as_ref();
         let reported = reported.map_or(0, |profile| profile.id.born_ms);
--- a/crates/mastknot_core/src/agent/target_reports.rs
+++ b/crates/mastknot_core/src/agent/target_reports.rs
@@ -131,7 +131,7 @@
             // The life that has answered so far has not reported; this one began after it.
             self.instance_over(now, EndOfLife::Crashed);
         }
-        if self.target_id().is_some_and(|known| known != target) {
+        if self.target_id().is_some_and(|known| known != target) && !self.has_answered_as(&target) {
             self.lives.note_other(now, report);
             // The look that is under way may wait for long.
             self.look = None;
--- a/crates/mastknot_core/tests/target_rebirths.rs
+++ b/crates/mastknot_core/tests/target_rebirths.rs
@@ -85,6 +85,26 @@
     assert_eq!(target.id, TargetId::born("target", SECOND));
 }
 
+/// The first report did not say when its life began, and the looks do. Taken for one of another life, each later report
+/// counted as late, and the side never heard that the target had less room or was leaving.
+#[test]
+fn a_life_whose_first_report_left_out_its_birth_is_the_known_one() {
+    let mut side = Side::unknown();
+    let effects = side.step(0, AgentEvent::Tick);
+    let effects = answer(&mut side, 1, &effects, view(FIRST, OLD_CLOCK_MS, &[]));
+    answer(&mut side, 3, &effects, view(FIRST, OLD_CLOCK_MS, &[]));
+    side.step(4, reported(0, 1));
+    let mut shrunk = report("target", 2);
+    shrunk.profile.id = TargetId::born("target", FIRST);
+    shrunk.profile.capacity.cpu_millis = 1_000;
+    side.step(200, AgentEvent::TargetReported(shrunk.clone()));
+    assert_eq!(side.agent.target(), Some(&shrunk.profile));
+    assert_eq!(side.agent.free().cpu_millis, 1_000);
+    let effects = side.step(400, reported(SECOND, 1));
+    assert!(look_number(&effects).is_some(), "another life is asked for");
+    assert_eq!(side.agent.target(), Some(&shrunk.profile));
+}
+
 /// No report has come, and the look itself shows it.
 #[test]
 fn a_look_tells_that_another_life_answers() {
