fix(side): a refused start says that the target is dead, not that it is silent

Cause: a start that was refused counted as a failed look. With the look that the crash itself had reset these were two in a row, from which on a target counted as silent, and the time of its crash as unknown. Such a crash is no evidence: the task that had brought it about was started a third time, its kind contained later.

Change: broken and refused connections and calls that ran into their limit are told apart (`ContactLoss`). A connection that broke gives the time of the crash; one that was refused does if the target was heard at most 10 ms before; after a call without an answer the time is unknown. A refused start makes the target count as absent at once, and it is looked at at once: the look under way may wait for half a second.

Tests: `a_refused_start_is_no_silence` and `a_crash_that_only_the_next_call_shows_has_no_known_time` failed before.

--- a/crates/mastknot_core/src/agent/looks.rs
+++ b/crates/mastknot_core/src/agent/looks.rs
@@ -46,7 +46,7 @@
     fn needs_look(&self) -> bool {
         let is_probing = self.link.token.is_none() || !self.link.is_settled;
         let is_busy = !self.runs.is_empty() || !self.survivors.is_empty();
-        is_probing || is_busy || self.link.failed_looks > 0 || self.lives.other.is_some()
+        is_probing || is_busy || self.link.is_doubtful() || self.lives.other.is_some()
     }
 
     /// When the next look is sent, if none is under way.
@@ -73,13 +73,15 @@
             // The next life would hold its runs by the clock of this one.
             && self.lives.other.is_none()
             && !self.owners.is_empty();
+        let wait = self.look_wait();
+        let limit = wait + self.answers.limit() * LOOK_MARGIN;
         self.look = Some(LookInFlight {
             number,
             sent: now,
             token,
             is_held,
+            until: now + limit,
         });
-        let wait = self.look_wait();
         let hold_until_ms = is_held.then(|| self.hold_until(now));
         if let Some(until) = hold_until_ms {
             self.link.note_hold(until);
@@ -91,14 +93,14 @@
             last_seen: self.link.last_seen,
             wait,
             target: self.target_id(),
-            limit: wait + self.answers.limit() * LOOK_MARGIN,
+            limit,
         });
     }
 
     /// How long the next look may wait for an end: not at all while the target is unknown.
     fn look_wait(&self) -> Duration {
         let is_unknown = self.link.token.is_none() || !self.link.is_settled;
-        if is_unknown || self.link.failed_looks > 0 || self.lives.other.is_some() {
+        if is_unknown || self.link.is_doubtful() || self.lives.other.is_some() {
             return Duration::ZERO;
         }
         // Nothing can end: the look is for the target's clock.
@@ -128,16 +130,21 @@
             Err(LookFailure::Fenced { clock_ms }) => self.pass_fence(now, look.token, clock_ms),
             Err(LookFailure::OtherInstance) => self.instance_replaced(now, EndOfLife::Crashed),
             Err(LookFailure::Refused) => {
+                self.link.contact_loss.note_refused(now);
                 self.target_refused(now, look.sent);
                 self.link.failed_looks = ABSENT_AFTER;
                 self.look_not_before = now + REFUSED_LOOK_PAUSE;
             }
-            Err(LookFailure::Silent) => self.look_failed(now),
+            Err(LookFailure::Silent) => self.look_failed(now, look),
         }
     }
 
-    fn look_failed(&mut self, now: Moment) {
+    fn look_failed(&mut self, now: Moment, look: LookInFlight) {
         self.link.failed_looks += 1;
+        match now < look.until {
+            true => self.link.contact_loss.note_broken(now),
+            false => self.link.contact_loss.note_timeout(),
+        }
         let in_a_row = self.link.failed_looks;
         self.decided(AgentDecision::LookFailed { in_a_row });
         if in_a_row > 1 {
--- a/crates/mastknot_core/src/agent/mod.rs
+++ b/crates/mastknot_core/src/agent/mod.rs
@@ -12,6 +12,7 @@
 mod agent_settings;
 mod answer_times;
 mod confirm_times;
+mod contact_loss;
 mod crash_log;
 mod dial_backoff;
 mod dial_order;
--- a/crates/mastknot_core/src/agent/order_answers.rs
+++ b/crates/mastknot_core/src/agent/order_answers.rs
@@ -24,7 +24,11 @@
             OrderOutcome::Started { clock_ms } => self.order_started(now, id, clock_ms),
             OrderOutcome::Refused(refusal) => self.order_refused(now, id, refusal),
             OrderOutcome::Unreachable => {
-                self.link.failed_looks += 1;
+                if !self.link.is_doubtful() {
+                    // The look that is under way may wait for long.
+                    self.look = None;
+                }
+                self.link.contact_loss.note_refused(now);
                 self.look_not_before = now;
                 self.end_unstarted(now, id, NotRunCause::TargetUnavailable);
             }
--- a/crates/mastknot_core/src/agent/target_agent.rs
+++ b/crates/mastknot_core/src/agent/target_agent.rs
@@ -38,6 +38,8 @@
     pub(super) token: u64,
     /// Whether it asks the target to hold its runs.
     pub(super) is_held: bool,
+    /// Without an answer by then it has failed.
+    pub(super) until: Moment,
 }
 
 /// The core of a side: it alone gives orders to its target.
--- a/crates/mastknot_core/src/agent/target_condition.rs
+++ b/crates/mastknot_core/src/agent/target_condition.rs
@@ -46,6 +46,7 @@
         let is_present = self.link.profile.is_some()
             && self.link.token.is_some()
             && self.link.failed_looks < ABSENT_AFTER
+            && !self.link.contact_loss.is_refused()
             && self.unconfirmed_runs() < ABSENT_AFTER as usize
             && now >= self.link.overlong_until
             && self.survivors.is_empty();
--- a/crates/mastknot_core/src/agent/target_link.rs
+++ b/crates/mastknot_core/src/agent/target_link.rs
@@ -1,5 +1,6 @@
 use std::time::Duration;
 
+use super::contact_loss::ContactLoss;
 use crate::job::TargetProfile;
 use crate::types::Moment;
 
@@ -26,6 +27,8 @@
     pub(crate) last_seen: u64,
     /// Looks that failed in a row.
     pub(crate) failed_looks: u32,
+    /// The signs since the last answer that it is gone.
+    pub(crate) contact_loss: ContactLoss,
     /// The last time anything was heard.
     pub(crate) heard: Moment,
     /// When the last look was sent that this life has answered.
@@ -65,6 +68,7 @@
     pub(crate) fn read_clock(&mut self, now: Moment, clock_ms: u64) {
         self.heard = now;
         self.failed_looks = 0;
+        self.contact_loss = ContactLoss::default();
         self.clock = Some(ClockReading { at: now, clock_ms });
     }
 
@@ -91,6 +95,11 @@
         reading.is_none_or(|reading| now.since(reading.at) > CLOCK_STALE)
     }
 
+    /// Whether the last calls say that the target may be gone.
+    pub(crate) fn is_doubtful(&self) -> bool {
+        self.failed_looks > 0 || self.contact_loss.is_refused()
+    }
+
     /// Notes that the target was told to hold its runs until this time on its clock.
     pub(crate) fn note_hold(&mut self, until_ms: u64) {
         self.longest_hold_ms = self.longest_hold_ms.max(until_ms);
--- a/crates/mastknot_core/src/agent/target_reports.rs
+++ b/crates/mastknot_core/src/agent/target_reports.rs
@@ -1,6 +1,5 @@
 //! What the target says of itself, and what the end of one of its lives changes.
 
-use super::looks::ABSENT_AFTER;
 use super::target_agent::TargetAgent;
 use super::{AgentDecision, AgentEffect, SessionId, TargetReport};
 use crate::job::{CrashedRun, EndOfRun, RunId, SideReport, TargetCrash, TargetId, TargetProfile};
@@ -77,17 +76,15 @@
             return;
         };
         let mut runs = std::mem::take(&mut self.lives.lost_in_silence);
-        // A target that has been silent crashed some time after its last word; one that resets connections, now.
-        let was_silent = self.link.failed_looks >= ABSENT_AFTER;
-        let crashed = if was_silent { self.link.heard } else { now };
-        runs.extend(self.crashed_runs(crashed, ended));
+        let crashed = self.link.contact_loss.crash_time(self.link.heard, now);
+        runs.extend(self.crashed_runs(crashed.at, ended));
         runs.sort_by_key(|crashed| crashed.ran_ms);
         runs.truncate(MAX_NAMED);
         let ago_ms = 0;
         let crash = TargetCrash {
             target,
             ago_ms,
-            was_silent,
+            was_silent: !crashed.is_known,
             runs,
         };
         self.tell_crash(&crash);
@@ -148,7 +145,7 @@
 
     fn take_report(&mut self, now: Moment, report: TargetReport) {
         let profile = report.profile;
-        if self.link.profile.is_none() || self.link.failed_looks > 0 {
+        if self.link.profile.is_none() || self.link.is_doubtful() {
             self.look_not_before = now;
         }
         // Room shrinks and grows within one life: what remembers the target is told each time.
--- a/crates/mastknot_core/tests/target_crashes.rs
+++ b/crates/mastknot_core/tests/target_crashes.rs
@@ -71,6 +71,50 @@
     assert_eq!(crashes(&effects).len(), 1);
 }
 
+/// A start that comes to a target that has just died is refused at once. Counted with looks that got no answer, it made the
+/// target look silent, and its crash said nothing of the task that had brought it about.
+#[test]
+fn a_refused_start_is_no_silence() {
+    for is_refused_first in [true, false] {
+        let (mut side, number) = busy();
+        side.order(1_040, ENTRY, start(3, 1_000));
+        let refused = AgentEvent::OrderAnswered {
+            run: run(3),
+            outcome: OrderOutcome::Unreachable,
+        };
+        let effects = match is_refused_first {
+            true => side.step(1_041, refused),
+            false => {
+                let effects = looked(&mut side, 1_041, number, LookFailure::Silent);
+                side.step(1_041, refused);
+                effects
+            }
+        };
+        let number = look_number(&effects).expect("the target is looked at again at once");
+        let effects = looked(&mut side, 1_042, number, LookFailure::Refused);
+        let crash = crashes(&effects).pop().expect("the target has crashed");
+        assert!(!crash.was_silent, "refused first: {is_refused_first}");
+        assert_eq!(crash.runs, [crashed(2, 10), crashed(1, 40)]);
+    }
+}
+
+/// It was dead at some time since its last word, long before that showed.
+#[test]
+fn a_crash_that_only_the_next_call_shows_has_no_known_time() {
+    let (mut side, _) = busy();
+    side.order(1_132, ENTRY, start(3, 1_000));
+    let refused = AgentEvent::OrderAnswered {
+        run: run(3),
+        outcome: OrderOutcome::Unreachable,
+    };
+    let effects = side.step(1_133, refused);
+    let number = look_number(&effects).expect("the target is looked at again at once");
+    let effects = looked(&mut side, 1_134, number, LookFailure::Refused);
+    let crash = crashes(&effects).pop().expect("the target has crashed");
+    assert!(crash.was_silent);
+    assert_eq!(crash.runs, [crashed(2, 1), crashed(1, 31)]);
+}
+
 #[test]
 fn a_target_that_leaves_has_not_crashed() {
     let (mut side, _) = busy();
