fix(entry): a crash under a run that may have ended is no certain evidence

Cause: a target crashed while the word of an end was on its way, and the word was lost with the connection. To its side the task still ran, so to all entries a target had crashed under it. The run that followed could have the same fate, after about the same time, since both had done the whole of the work: two crashes at like times soon after the start, which is all that was asked for.

Evidence: made to happen in virtual time, where targets that die now lose what they had sent: the target of a job's one task crashes 50 us after its end, at its first and at its second target (the moments are found by playing the job without the crash). The other places of the word (side to entry, entry to its confirmation) are not reached: a side leaves out of a crash what it has heard the end of.

Ruled out: asking the target (it is dead), its successor (it knows nothing), the entry (it knows only what the side says).

Change: a side says of each run under a crash whether it had gone on for as long as its caller expected (`may_have_ended`). Such runs count among three that are alike and among five in all, not among the two soon after the start that tell by themselves.

Left: a guess that is too long hides it; the window is then the time of a word.

--- a/crates/mastknot_core/src/agent/run_table.rs
+++ b/crates/mastknot_core/src/agent/run_table.rs
@@ -101,6 +101,11 @@
             .is_some_and(|ran| now.since(self.since) <= trial_time(ran))
     }
 
+    /// Whether it may have done its work after this time; not known if its caller gave no guess.
+    pub(crate) fn may_have_ended_after(&self, ran: Duration) -> bool {
+        self.estimate_ms > 0 && ran >= self.estimate()
+    }
+
     /// The caller's guess of its time.
     pub(crate) fn estimate(&self) -> Duration {
         Duration::from_millis(u64::from(self.estimate_ms))
--- a/crates/mastknot_core/src/agent/target_reports.rs
+++ b/crates/mastknot_core/src/agent/target_reports.rs
@@ -106,11 +106,13 @@
     fn crashed_runs(&self, crashed: Moment, ended: &[RunId]) -> Vec<CrashedRun> {
         let runs = ended.iter().filter_map(|run| {
             let state = self.runs.get(run)?;
+            let ran = crashed.since(state.since);
             Some(CrashedRun {
                 run: *run,
                 kind: state.kind,
-                ran_ms: crashed.since(state.since).as_millis() as u32,
+                ran_ms: ran.as_millis() as u32,
                 has_begun: state.has_begun(),
+                may_have_ended: state.may_have_ended_after(ran),
             })
         });
         runs.collect()
--- a/crates/mastknot_core/src/job/target_crash.rs
+++ b/crates/mastknot_core/src/job/target_crash.rs
@@ -21,6 +21,9 @@
     pub ran_ms: u32,
     /// Whether the target is known to have started it.
     pub has_begun: bool,
+    /// Whether it had gone on for as long as its caller expected: it may have ended, and the word of that was lost with
+    /// its target.
+    pub may_have_ended: bool,
 }
 
 impl CrashedRun {
--- a/crates/mastknot_core/src/scheduler/crash_memory.rs
+++ b/crates/mastknot_core/src/scheduler/crash_memory.rs
@@ -38,6 +38,8 @@
     ran: Duration,
     /// Whether its target is known to have started it.
     has_begun: bool,
+    /// Whether it may have ended before the crash.
+    may_have_ended: bool,
     /// Whether the time of the crash is known.
     is_timed: bool,
 }
@@ -47,12 +49,13 @@
         Self {
             ran: crashed.ran(),
             has_begun: crashed.has_begun,
+            may_have_ended: crashed.may_have_ended,
             is_timed: !crash.was_silent,
         }
     }
 
     fn is_soon(&self) -> bool {
-        self.is_timed && self.ran <= SOON
+        self.is_timed && !self.may_have_ended && self.ran <= SOON
     }
 }
 
--- /dev/null
+++ b/crates/mastknot_core/tests/crash_evidence.rs
@@ -0,0 +1,77 @@
+//! What crashes say of the tasks that ran there, and of their kinds.
+
+mod common;
+
+use common::entry::*;
+use mastknot_core::job::{
+    CrashedRun, FailureCause, JobAnswer, JobId, RunId, SideReport, TargetCrash, TargetId, TaskKind,
+    TaskRef,
+};
+use mastknot_core::scheduler::SchedulerEffect;
+
+const FAILED: JobAnswer = JobAnswer::Failed {
+    cause: FailureCause::CrashesTargets,
+};
+const SIDES: u64 = 8;
+
+/// A run of a job's task that was under way at a crash for this time.
+fn ran(job: u64, index: u16, ran_ms: u32) -> CrashedRun {
+    let task = TaskRef {
+        job: JobId(job),
+        step: 0,
+        index,
+    };
+    CrashedRun {
+        run: RunId { task, attempt: 1 },
+        kind: TaskKind::default(),
+        ran_ms,
+        has_begun: true,
+        may_have_ended: false,
+    }
+}
+
+struct Told {
+    entry: Entry,
+    crashes: u64,
+}
+
+impl Told {
+    fn new() -> Self {
+        let entry = Entry::with_sides(&[16_000; SIDES as usize]);
+        Self { entry, crashes: 0 }
+    }
+
+    /// A side tells that its target has crashed.
+    fn crash(&mut self, ms: u64, side: u64, runs: &[CrashedRun]) -> Vec<SchedulerEffect> {
+        self.crashes += 1;
+        let crash = TargetCrash {
+            target: TargetId::named(format!("life-{}", self.crashes)),
+            ago_ms: 0,
+            was_silent: false,
+            runs: runs.to_vec(),
+        };
+        let reports = vec![SideReport::TargetCrashed(crash)];
+        self.entry.reports(ms, side, reports)
+    }
+
+    /// Whether a job that comes in is failed at once.
+    fn is_failed(&mut self, ms: u64, id: u64) -> bool {
+        let effects = self.entry.submit(ms, id, job(id, 1, 60), 2_000);
+        answers(&effects) == [(id, FAILED)]
+    }
+}
+
+/// A run that had gone on for as long as expected may have done its work, and the word of that was lost.
+#[test]
+fn two_crashes_under_runs_that_may_have_ended_tell_nothing() {
+    let late = |ran_ms| CrashedRun {
+        may_have_ended: true,
+        ..ran(7, 0, ran_ms)
+    };
+    let mut told = Told::new();
+    told.crash(10, 0, &[late(38)]);
+    told.crash(60, 1, &[late(32)]);
+    assert!(!told.is_failed(70, 7));
+    told.crash(120, 2, &[late(35)]);
+    assert!(told.is_failed(130, 7), "three alike tell");
+}
--- a/crates/mastknot_core/tests/crash_suspects.rs
+++ b/crates/mastknot_core/tests/crash_suspects.rs
@@ -33,6 +33,7 @@
         kind: TaskKind::default(),
         ran_ms: *ran_ms,
         has_begun: true,
+        may_have_ended: false,
     });
     TargetCrash {
         target: TargetId::named(target),
--- a/crates/mastknot_core/tests/target_crashes.rs
+++ b/crates/mastknot_core/tests/target_crashes.rs
@@ -22,6 +22,7 @@
         kind: TaskKind::default(),
         ran_ms,
         has_begun: true,
+        may_have_ended: false,
     }
 }
 
--- a/crates/mastknot_virtual/src/jobs/act.rs
+++ b/crates/mastknot_virtual/src/jobs/act.rs
@@ -1,6 +1,6 @@
 use std::collections::BTreeMap;
 
-use mastknot_core::agent::{AgentEvent, SessionId};
+use mastknot_core::agent::{AgentEvent, LookFailure, SessionId, TargetView};
 use mastknot_core::job::{ConfigDocument, EntryOrder, JobId, RunId, SideReport};
 use mastknot_core::scheduler::CallerId;
 use mastknot_core::types::Hall;
@@ -75,6 +75,13 @@
         side: usize,
         number: u64,
     },
+    /// What a target has answered to a look arrives at its side.
+    LookAnswered {
+        side: usize,
+        lives: u64,
+        open: Box<OpenLook>,
+        result: Result<TargetView, LookFailure>,
+    },
     TargetDue {
         side: usize,
     },
--- a/crates/mastknot_virtual/src/jobs/job_audit.rs
+++ b/crates/mastknot_virtual/src/jobs/job_audit.rs
@@ -88,6 +88,8 @@
     running: BTreeMap<TaskRef, Vec<(usize, RunId)>>,
     started: BTreeSet<JobId>,
     done: BTreeSet<TaskRef>,
+    /// At which target each task has done its work last, and when, in microseconds.
+    last_done: BTreeMap<TaskRef, (usize, u64)>,
     answers: BTreeMap<JobId, Vec<GivenAnswer>>,
     /// How often each task has started.
     starts: BTreeMap<TaskRef, u32>,
@@ -190,9 +192,16 @@
         }
         if is_done {
             self.done.insert(run.task);
+            self.last_done.insert(run.task, (target, at));
         }
     }
 
+    /// At which target a task has done its work last, and when.
+    pub fn last_done(&self, task: TaskRef) -> Option<(usize, Duration)> {
+        let (target, at) = self.last_done.get(&task)?;
+        Some((*target, Duration::from_micros(*at)))
+    }
+
     pub(super) fn answered(&mut self, job: JobId, given: GivenAnswer, tasks: &[TaskRef]) {
         if given.answer == JobAnswer::Completed {
             let missing = tasks.iter().find(|task| !self.done.contains(*task));
--- a/crates/mastknot_virtual/src/jobs/job_system.rs
+++ b/crates/mastknot_virtual/src/jobs/job_system.rs
@@ -367,6 +367,12 @@
             }
             Act::TargetLook { side, open, wait } => self.target_look(side, *open, wait),
             Act::LookWaited { side, number } => self.answer_look(side, Some(number)),
+            Act::LookAnswered {
+                side,
+                lives,
+                open,
+                result,
+            } => self.look_answered(side, lives, &open, result),
             Act::TargetDue { side } => self.advance_target(side),
             Act::CrashUnder { side, lives, run } => self.crash_under(side, lives, run),
             Act::Beat { side, lives } => self.beat(side, lives),
--- a/crates/mastknot_virtual/src/jobs/targets.rs
+++ b/crates/mastknot_virtual/src/jobs/targets.rs
@@ -308,11 +308,32 @@
             return;
         };
         let result: Result<TargetView, LookFailure> = target.look(self.now, &open.look);
-        let event = AgentEvent::Looked {
-            number: open.number,
+        let answered = Act::LookAnswered {
+            side,
+            lives: slot.lives,
+            open: Box::new(open),
             result,
         };
-        self.side_input(TARGET_DELAY, side, open.life, event);
+        self.later(TARGET_DELAY, answered);
+    }
+
+    /// A target that dies resets its connections: what is on its way then is lost.
+    pub(super) fn look_answered(
+        &mut self,
+        side: usize,
+        lives: u64,
+        open: &OpenLook,
+        result: Result<TargetView, LookFailure>,
+    ) {
+        let slot = &self.targets[side];
+        let has_died = slot.target.is_none() || slot.lives != lives;
+        let result = match has_died && !slot.is_dark {
+            true => Err(LookFailure::Silent),
+            false => result,
+        };
+        let number = open.number;
+        let event = AgentEvent::Looked { number, result };
+        self.side_input(0, side, open.life, event);
     }
 
     pub(super) fn advance_target(&mut self, side: usize) {
