fix(entry): a crash that one task explains says nothing of what ran beside it

Cause: each crash was held against all that ran on its target, also when it was known by then which task had brought it about. Two crashes at like times soon after a start are rare by chance, but in a storm of crashes a task that is started again and again meets many.

Change: the runs beside a task that is known to have brought a crash about are forgotten, in the earlier crashes too, and count for no kind. If tasks of two jobs may both have brought the same crash about, neither is certain until a third crash: tasks of one job that ran alike in two crashes, one begun after the other's target had gone. Tasks of a wide job that begin together are of one age whatever crashes their targets, and explain nothing.

Left: a bystander of two crashes by two tasks that have crashed one target each so far is still taken for guilty.

Tests: `what_ran_beside_a_task_that_crashes_targets_is_cleared` and `two_jobs_that_may_both_have_crashed_the_same_targets_are_told_apart_by_the_third` failed before.

--- a/crates/mastknot_core/src/scheduler/crash_memory.rs
+++ b/crates/mastknot_core/src/scheduler/crash_memory.rs
@@ -1,4 +1,4 @@
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeMap, HashSet, VecDeque};
 use std::time::Duration;
 
 use crate::job::{CrashedRun, TargetCrash, TargetId, TaskRef, ran_alike};
@@ -35,6 +35,10 @@
 /// A run whose target crashed.
 #[derive(Clone, Copy, Debug)]
 struct RunAtCrash {
+    /// The number of the crash.
+    crash: u64,
+    /// When that was.
+    crashed: Moment,
     ran: Duration,
     /// Whether its target is known to have started it.
     has_begun: bool,
@@ -45,8 +49,10 @@
 }
 
 impl RunAtCrash {
-    fn new(crash: &TargetCrash, crashed: &CrashedRun) -> Self {
+    fn new(known: &KnownCrash, crash: &TargetCrash, crashed: &CrashedRun) -> Self {
         Self {
+            crash: known.number,
+            crashed: known.at,
             ran: crashed.ran(),
             has_begun: crashed.has_begun,
             may_have_ended: crashed.may_have_ended,
@@ -55,13 +61,26 @@
     }
 
     fn is_soon(&self) -> bool {
-        self.is_timed && !self.may_have_ended && self.ran <= SOON
+        let is_certain = self.is_timed && self.has_begun && !self.may_have_ended;
+        is_certain && self.ran <= SOON
+    }
+
+    fn is_alike(&self, other: &Self) -> bool {
+        ran_alike(self.ran, other.ran)
+    }
+
+    /// Whether one of the two began after the other's target had crashed. Tasks that begin together have the same age when
+    /// their targets crash together, whatever brings that about.
+    fn is_apart(&self, other: &Self) -> bool {
+        let is_after = |later: &Self, earlier: &Self| later.crashed >= earlier.crashed + later.ran;
+        self.crash != other.crash && (is_after(self, other) || is_after(other, self))
     }
 }
 
 /// A crash that is remembered.
 #[derive(Clone, Debug)]
 struct KnownCrash {
+    number: u64,
     at: Moment,
     target: TargetId,
     tasks: Vec<TaskRef>,
@@ -74,7 +93,8 @@
 pub(crate) struct CrashMemory {
     known: VecDeque<KnownCrash>,
     /// The runs of each task whose targets crashed, in the order of the crashes.
-    runs: HashMap<TaskRef, Vec<RunAtCrash>>,
+    runs: BTreeMap<TaskRef, Vec<RunAtCrash>>,
+    next_number: u64,
 }
 
 impl CrashMemory {
@@ -87,26 +107,72 @@
         if self.known.len() == MAX_CRASHES {
             self.forget_oldest();
         }
+        let tasks = crash.runs.iter().map(|crashed| crashed.run.task);
+        let tasks: Vec<TaskRef> = tasks.collect();
+        let known = KnownCrash {
+            number: self.next_number,
+            at: now - Duration::from_millis(u64::from(crash.ago_ms)),
+            target: crash.target.clone(),
+            tasks: tasks.clone(),
+        };
+        self.next_number += 1;
         for crashed in &crash.runs {
             let runs = self.runs.entry(crashed.run.task).or_default();
-            runs.push(RunAtCrash::new(crash, crashed));
+            runs.push(RunAtCrash::new(&known, crash, crashed));
         }
-        let tasks = crash.runs.iter().map(|crashed| crashed.run.task);
-        let ago = Duration::from_millis(u64::from(crash.ago_ms));
-        self.known.push_back(KnownCrash {
-            at: now - ago,
-            target: crash.target.clone(),
-            tasks: tasks.collect(),
-        });
+        self.known.push_back(known);
+        self.clear_bystanders(&tasks);
         true
     }
 
+    /// A crash that one of these tasks is known to have brought about says nothing of what ran beside it.
+    fn clear_bystanders(&mut self, tasks: &[TaskRef]) {
+        let explained = tasks.iter().flat_map(|task| self.brought_about_by(task));
+        let explained: HashSet<u64> = explained.collect();
+        if explained.is_empty() {
+            return;
+        }
+        let known = self.known.iter();
+        let known = known.filter(|known| explained.contains(&known.number));
+        let beside = known.flat_map(|known| known.tasks.iter().map(|task| (*task, known.number)));
+        let beside = beside.filter(|(task, _)| self.brought_about_by(task).is_empty());
+        let beside: Vec<(TaskRef, u64)> = beside.collect();
+        for (task, crash) in beside {
+            self.forget_run(&task, crash);
+        }
+    }
+
+    /// A crash that has been noted, without what ran beside the tasks that are known to have brought it about; as it is if
+    /// none are.
+    pub(crate) fn without_bystanders(&self, crash: &TargetCrash) -> TargetCrash {
+        let mut known = self.known.iter().rev();
+        let number = known.find(|known| known.target == crash.target);
+        let number = number.map(|known| known.number);
+        let is_cause = |run: &CrashedRun| {
+            let crashes = self.brought_about_by(&run.run.task);
+            number.is_some_and(|number| crashes.contains(&number))
+        };
+        let mut rest = crash.clone();
+        if rest.runs.iter().any(is_cause) {
+            rest.runs.retain(is_cause);
+        }
+        rest
+    }
+
+    /// The crashes that a task brought about for certain: they tell of it, and their times are known.
+    fn brought_about_by(&self, task: &TaskRef) -> Vec<u64> {
+        let runs = self.runs.get(task).map(Vec::as_slice).unwrap_or_default();
+        let told = self.telling(task, runs);
+        let timed = told.into_iter().filter(|run| run.is_timed);
+        timed.map(|run| run.crash).collect()
+    }
+
     /// What is known of a task.
     pub(crate) fn standing(&self, task: &TaskRef) -> CrashStanding {
         let Some(runs) = self.runs.get(task) else {
             return CrashStanding::Clear;
         };
-        if runs.len() >= MOST_CRASHES || tell_alike(runs) {
+        if runs.len() >= MOST_CRASHES || !self.telling(task, runs).is_empty() {
             return CrashStanding::Guilty;
         }
         let timed = runs.iter().rfind(|run| run.is_timed);
@@ -147,32 +213,67 @@
         }
     }
 
+    /// The runs of a task that went on for about the same time until their targets crashed, if they are so many that
+    /// chance does not explain it.
+    fn telling<'a>(&self, task: &TaskRef, runs: &'a [RunAtCrash]) -> Vec<&'a RunAtCrash> {
+        let begun: Vec<&RunAtCrash> = runs.iter().filter(|run| run.has_begun).collect();
+        let is_told = |run: &&&RunAtCrash| {
+            let alike = begun.iter().filter(|other| run.is_alike(other));
+            if alike.clone().count() >= ALIKE_IF_LATER {
+                return true;
+            }
+            let soon = alike.filter(|other| other.is_soon());
+            run.is_soon()
+                && soon.clone().count() >= ALIKE_IF_SOON
+                && !soon
+                    .clone()
+                    .any(|other| self.is_contested(task, other.crash))
+        };
+        begun.iter().filter(is_told).copied().collect()
+    }
+
+    /// Whether tasks of another job may as well have brought about a crash: they ran for about the same time until
+    /// another target crashed.
+    fn is_contested(&self, task: &TaskRef, crash: u64) -> bool {
+        let place = self.known.partition_point(|known| known.number < crash);
+        let known = self.known.get(place).filter(|known| known.number == crash);
+        let tasks = known.into_iter().flat_map(|known| &known.tasks);
+        let mut others = tasks.filter(|other| other.job != task.job);
+        others.any(|other| self.has_pattern(other, crash))
+    }
+
+    /// Whether a task ran for about as long until this crash as it or one like it did until another.
+    fn has_pattern(&self, task: &TaskRef, crash: u64) -> bool {
+        let own = self.runs.get(task).into_iter().flatten();
+        let Some(own) = own.into_iter().find(|run| run.crash == crash) else {
+            return false;
+        };
+        let first = TaskRef { index: 0, ..*task };
+        let last = TaskRef {
+            index: u16::MAX,
+            ..*task
+        };
+        let like = self.runs.range(first..=last).flat_map(|(_, runs)| runs);
+        let mut soon = like.filter(|run| run.is_soon() && run.is_apart(own));
+        own.is_soon() && soon.any(|run| run.is_alike(own))
+    }
+
     fn forget_oldest(&mut self) {
         let Some(oldest) = self.known.pop_front() else {
             return;
         };
         for task in oldest.tasks {
-            let Some(runs) = self.runs.get_mut(&task) else {
-                continue;
-            };
-            runs.remove(0);
-            if runs.is_empty() {
-                self.runs.remove(&task);
-            }
+            self.forget_run(&task, oldest.number);
         }
     }
-}
 
-/// Whether so many runs that had begun went on for about the same time until their targets crashed that chance
-/// does not explain it.
-fn tell_alike(runs: &[RunAtCrash]) -> bool {
-    let begun: Vec<&RunAtCrash> = runs.iter().filter(|run| run.has_begun).collect();
-    let is_alike = |first: &RunAtCrash, other: &RunAtCrash| ran_alike(first.ran, other.ran);
-    let is_told = |run: &&RunAtCrash| {
-        let alike = begun.iter().filter(|other| is_alike(run, other));
-        let alike_soon = alike.clone().filter(|other| other.is_soon());
-        let is_told_soon = run.is_soon() && alike_soon.count() >= ALIKE_IF_SOON;
-        is_told_soon || alike.count() >= ALIKE_IF_LATER
-    };
-    begun.iter().any(is_told)
+    fn forget_run(&mut self, task: &TaskRef, crash: u64) {
+        let Some(runs) = self.runs.get_mut(task) else {
+            return;
+        };
+        runs.retain(|run| run.crash != crash);
+        if runs.is_empty() {
+            self.runs.remove(task);
+        }
+    }
 }
--- a/crates/mastknot_core/src/scheduler/suspects.rs
+++ b/crates/mastknot_core/src/scheduler/suspects.rs
@@ -19,7 +19,8 @@
             return;
         }
         self.counters.target_crashes += 1;
-        self.contain_guilty_kinds(now, crash);
+        let without_bystanders = self.crashes.without_bystanders(crash);
+        self.contain_guilty_kinds(now, &without_bystanders);
         for crashed in &crash.runs {
             self.give_up_guilty(now, crashed.run.task);
         }
--- a/crates/mastknot_core/tests/crash_evidence.rs
+++ b/crates/mastknot_core/tests/crash_evidence.rs
@@ -13,6 +13,7 @@
     cause: FailureCause::CrashesTargets,
 };
 const SIDES: u64 = 8;
+const IMAGE: &str = "image";
 
 /// A run of a job's task that was under way at a crash for this time.
 fn ran(job: u64, index: u16, ran_ms: u32) -> CrashedRun {
@@ -61,6 +62,40 @@
     }
 }
 
+/// What a caller saw: a job was failed for crashes that another job had brought about beside it.
+#[test]
+fn what_ran_beside_a_task_that_crashes_targets_is_cleared() {
+    let mut told = Told::new();
+    told.crash(10, 0, &[ran(7, 0, 12), ran(8, 0, 30)]);
+    told.crash(40, 1, &[ran(7, 0, 11)]);
+    let of_other_kind = of_kind(ran(9, 0, 12), kinds().1);
+    told.crash(80, 2, &[of_other_kind, ran(8, 0, 28)]);
+    assert!(told.is_failed(90, 7));
+    assert!(!told.is_failed(91, 8));
+}
+
+/// Two tasks of two jobs ran alike in the same two crashes: a third crash tells which of them it was.
+#[test]
+fn two_jobs_that_may_both_have_crashed_the_same_targets_are_told_apart_by_the_third() {
+    let mut told = Told::new();
+    told.crash(10, 0, &[ran(7, 0, 14), ran(8, 0, 31)]);
+    let effects = told.crash(50, 1, &[ran(7, 0, 12), ran(8, 0, 29)]);
+    assert_eq!(answers(&effects), []);
+    told.crash(80, 2, &[ran(7, 0, 13)]);
+    assert!(told.is_failed(90, 7));
+    assert!(!told.is_failed(91, 8));
+}
+
+/// Tasks of a wide job that began together have the same age when two targets crash together.
+#[test]
+fn tasks_that_began_together_do_not_hide_the_one_that_crashes_targets() {
+    let mut told = Told::new();
+    told.crash(10, 0, &[ran(7, 0, 10), ran(9, 1, 40)]);
+    told.crash(22, 1, &[ran(7, 0, 10), ran(9, 2, 46)]);
+    assert!(told.is_failed(30, 7));
+    assert!(!told.is_failed(31, 9));
+}
+
 /// A run that had gone on for as long as expected may have done its work, and the word of that was lost.
 #[test]
 fn two_crashes_under_runs_that_may_have_ended_tell_nothing() {
@@ -75,3 +110,13 @@
     told.crash(120, 2, &[late(35)]);
     assert!(told.is_failed(130, 7), "three alike tell");
 }
+
+fn of_kind(run: CrashedRun, kind: TaskKind) -> CrashedRun {
+    CrashedRun { kind, ..run }
+}
+
+/// The kind of the tasks of [`job`], and that of [`imaged`].
+fn kinds() -> (TaskKind, TaskKind) {
+    let plain = TaskKind::new("queue", None);
+    (plain, TaskKind::new("queue", Some(IMAGE)))
+}
