fix(entry): what a kind has crashed is the first of its part

Cause: the part of a contained kind was drawn by the names of kind and sides alone, from targets that stood as a rule. What the kind had crashed until then stayed with the others, dead for 3.3 s, and its part went on to crash the new ones.

Change: sides whose targets a kind has crashed for certain come first in its part, in the order of the crashes; then rank, as before. All entries hear of the same crashes.

Test: `the_targets_that_a_kind_has_crashed_are_the_first_of_its_part` failed before.

--- a/crates/mastknot_core/src/scheduler/contained_kinds.rs
+++ b/crates/mastknot_core/src/scheduler/contained_kinds.rs
@@ -26,8 +26,13 @@
 
 impl JobScheduler {
     /// Contains the kinds whose tasks are known to have crashed targets.
-    pub(super) fn contain_guilty_kinds(&mut self, now: Moment, crash: &TargetCrash) {
-        let mut contained = self.containment.note_crash(now, crash);
+    pub(super) fn contain_guilty_kinds(
+        &mut self,
+        now: Moment,
+        side: &NodeName,
+        crash: &TargetCrash,
+    ) {
+        let mut contained = self.containment.note_crash(now, side, crash);
         for crashed in &crash.runs {
             let kind = crashed.kind;
             let has_others = self.share_of(kind) < LARGEST_SHARE;
@@ -38,6 +43,9 @@
             if self.containment.contain(now, kind, crashed.ran(), part) {
                 contained.push(kind);
             }
+            for side in self.crashes.crashed_sides(&crashed.run.task) {
+                self.containment.note_side(kind, &side);
+            }
         }
         if contained.is_empty() {
             return;
@@ -128,18 +136,21 @@
         }
     }
 
-    /// The first linked sides for a kind that are kept for no other.
+    /// The first linked sides for a kind that are kept for no other: those whose targets it has crashed, so that the
+    /// others lose no more to it than these, and then by rank.
     fn first_places(&self, kind: TaskKind, count: usize) -> Vec<usize> {
         let sides = self.sides.iter().enumerate();
         let open = sides.filter(|(_, (_, side))| side.session.is_some() && side.kept_for.is_none());
-        let ranked = open.map(|(place, (name, _))| (part_rank(kind, name), place));
-        let mut ranked: Vec<(u32, usize)> = ranked.collect();
+        let crashed = self.containment.crashed_sides(kind);
+        let turn = |name: &NodeName| crashed.iter().position(|side| side == name);
+        let ranked = open.map(|(place, (name, _))| {
+            let turn = turn(name).unwrap_or(usize::MAX);
+            (turn, part_rank(kind, name), place)
+        });
+        let mut ranked: Vec<(usize, u32, usize)> = ranked.collect();
         ranked.sort_unstable();
-        ranked
-            .into_iter()
-            .take(count)
-            .map(|(_, place)| place)
-            .collect()
+        let first = ranked.into_iter().take(count);
+        first.map(|(_, _, place)| place).collect()
     }
 
     /// The places of the sides that would be kept for a kind. A suspect is tried there first: should its kind be contained
--- a/crates/mastknot_core/src/scheduler/containment.rs
+++ b/crates/mastknot_core/src/scheduler/containment.rs
@@ -2,7 +2,7 @@
 use std::time::Duration;
 
 use crate::job::{CrashedRun, LearnedSuspect, TargetCrash, TaskKind, ran_alike};
-use crate::types::Moment;
+use crate::types::{Moment, NodeName};
 
 /// So many runs at least have to do their work without a crash before their kind counts as sound.
 const LEAST_SOUND: u32 = 32;
@@ -21,12 +21,14 @@
 const PER_MILLE: f64 = 1_000.0;
 
 /// A kind of tasks that have crashed their targets.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct SuspectKind {
     /// How long one of its tasks ran until its target crashed.
     ran: Duration,
     /// The part of the targets that it has, from 0 to 1.
     part: f64,
+    /// The sides whose targets its tasks have crashed, in the order of the crashes.
+    crashed: Vec<NodeName>,
     last_crash: Moment,
     crashes: u32,
     /// Runs that did their work while the kind was contained, and how many of them since the last crash.
@@ -40,6 +42,7 @@
         Self {
             ran,
             part,
+            crashed: Vec::new(),
             last_crash: now,
             crashes: 1,
             done: 0,
@@ -54,6 +57,12 @@
         self.done_since = 0;
     }
 
+    fn note_side(&mut self, side: &NodeName) {
+        if !self.crashed.contains(side) {
+            self.crashed.push(side.clone());
+        }
+    }
+
     fn contain_again(&mut self, now: Moment) {
         *self = Self::new(now, self.ran, self.part);
     }
@@ -144,7 +153,12 @@
     }
 
     /// Takes in what ran on a target that has crashed; returns the kinds that are contained again.
-    pub(crate) fn note_crash(&mut self, now: Moment, crash: &TargetCrash) -> Vec<TaskKind> {
+    pub(crate) fn note_crash(
+        &mut self,
+        now: Moment,
+        side: &NodeName,
+        crash: &TargetCrash,
+    ) -> Vec<TaskKind> {
         let mut again = Vec::new();
         for (kind, known) in &mut self.kinds {
             let begun = crash.runs.iter().filter(|run| run.has_begun);
@@ -154,16 +168,33 @@
             }
             let ran = known.ran;
             let is_like = of_kind.any(|run| ran_alike(run.ran(), ran));
+            let is_cause = is_like && !crash.was_silent;
             if known.is_contained {
                 known.note_crash(now);
-            } else if is_like && !crash.was_silent {
+            } else if is_cause {
                 known.contain_again(now);
                 again.push(*kind);
             }
+            if is_cause {
+                known.note_side(side);
+            }
         }
         again
     }
 
+    /// A task of the kind has crashed this side's target.
+    pub(crate) fn note_side(&mut self, kind: TaskKind, side: &NodeName) {
+        if let Some(known) = self.kinds.get_mut(&kind) {
+            known.note_side(side);
+        }
+    }
+
+    /// The sides whose targets tasks of the kind have crashed, in the order of the crashes.
+    pub(crate) fn crashed_sides(&self, kind: TaskKind) -> &[NodeName] {
+        let known = self.kinds.get(&kind);
+        known.map_or(&[], |known| &known.crashed)
+    }
+
     /// A run of the kind has done its work.
     pub(crate) fn note_done(&mut self, kind: TaskKind) {
         if let Some(known) = self.kinds.get_mut(&kind).filter(|known| known.is_contained) {
--- a/crates/mastknot_core/src/scheduler/crash_memory.rs
+++ b/crates/mastknot_core/src/scheduler/crash_memory.rs
@@ -2,7 +2,7 @@
 use std::time::Duration;
 
 use crate::job::{CrashedRun, TargetCrash, TargetId, TaskRef, ran_alike};
-use crate::types::Moment;
+use crate::types::{Moment, NodeName};
 
 /// For how long crashes are remembered: a caller without an answer comes again a few times, some seconds apart.
 const CRASHES_REMEMBERED: Duration = Duration::from_secs(60);
@@ -82,6 +82,7 @@
 struct KnownCrash {
     number: u64,
     at: Moment,
+    side: NodeName,
     target: TargetId,
     tasks: Vec<TaskRef>,
 }
@@ -99,7 +100,7 @@
 
 impl CrashMemory {
     /// Takes a crash in; returns whether it is news.
-    pub(crate) fn note(&mut self, now: Moment, crash: &TargetCrash) -> bool {
+    pub(crate) fn note(&mut self, now: Moment, side: &NodeName, crash: &TargetCrash) -> bool {
         self.forget_old(now);
         if self.known.iter().any(|known| known.target == crash.target) {
             return false;
@@ -112,6 +113,7 @@
         let known = KnownCrash {
             number: self.next_number,
             at: now - Duration::from_millis(u64::from(crash.ago_ms)),
+            side: side.clone(),
             target: crash.target.clone(),
             tasks: tasks.clone(),
         };
@@ -159,6 +161,14 @@
         rest
     }
 
+    /// The sides whose targets a task crashed for certain, in the order of the crashes.
+    pub(crate) fn crashed_sides(&self, task: &TaskRef) -> Vec<NodeName> {
+        let crashes = self.brought_about_by(task);
+        let known = self.known.iter();
+        let own = known.filter(|known| crashes.contains(&known.number));
+        own.map(|known| known.side.clone()).collect()
+    }
+
     /// The crashes that a task brought about for certain: they tell of it, and their times are known.
     fn brought_about_by(&self, task: &TaskRef) -> Vec<u64> {
         let runs = self.runs.get(task).map(Vec::as_slice).unwrap_or_default();
--- a/crates/mastknot_core/src/scheduler/side_links.rs
+++ b/crates/mastknot_core/src/scheduler/side_links.rs
@@ -48,7 +48,7 @@
             SideReport::Hello(_) => {}
             SideReport::Resume { running, ended } => self.resume(now, &name, running, ended),
             SideReport::Status(status) => self.take_status(now, session, &name, status),
-            SideReport::TargetCrashed(crash) => self.note_crash(now, &crash),
+            SideReport::TargetCrashed(crash) => self.note_crash(now, &name, &crash),
             SideReport::FetchEntries => self.send_entries(session),
             SideReport::FetchDocument(request) => self.documents.request(session, request),
             SideReport::DocumentPart(part) => self.take_part(session, part),
--- a/crates/mastknot_core/src/scheduler/suspects.rs
+++ b/crates/mastknot_core/src/scheduler/suspects.rs
@@ -9,18 +9,18 @@
 use super::job_scheduler::JobScheduler;
 use super::side_view::SideView;
 use crate::job::{FailureCause, JobAnswer, JobId, TargetCrash, TaskRef, ran_alike, trial_time};
-use crate::types::Moment;
+use crate::types::{Moment, NodeName};
 
 impl JobScheduler {
     /// A side tells of a crash. Whoever owns the runs, each entry learns what ran there.
-    pub(super) fn note_crash(&mut self, now: Moment, crash: &TargetCrash) {
+    pub(super) fn note_crash(&mut self, now: Moment, side: &NodeName, crash: &TargetCrash) {
         let blamed = self.containment.blamed(crash);
-        if !self.crashes.note(now, &blamed) {
+        if !self.crashes.note(now, side, &blamed) {
             return;
         }
         self.counters.target_crashes += 1;
         let without_bystanders = self.crashes.without_bystanders(crash);
-        self.contain_guilty_kinds(now, &without_bystanders);
+        self.contain_guilty_kinds(now, side, &without_bystanders);
         for crashed in &crash.runs {
             self.give_up_guilty(now, crashed.run.task);
         }
--- a/crates/mastknot_core/tests/crash_evidence.rs
+++ b/crates/mastknot_core/tests/crash_evidence.rs
@@ -2,10 +2,12 @@
 
 mod common;
 
+use std::sync::Arc;
+
 use common::entry::*;
 use mastknot_core::job::{
-    CrashedRun, FailureCause, JobAnswer, JobId, RunId, SideReport, TargetCrash, TargetId, TaskKind,
-    TaskRef,
+    CrashedRun, FailureCause, JobAnswer, JobId, JobRequest, RunId, SideReport, TargetCrash,
+    TargetId, TaskKind, TaskRef,
 };
 use mastknot_core::scheduler::SchedulerEffect;
 
@@ -120,3 +122,30 @@
     let plain = TaskKind::new("queue", None);
     (plain, TaskKind::new("queue", Some(IMAGE)))
 }
+
+fn imaged(id: u64, tasks: u16) -> JobRequest {
+    let mut request = job(id, tasks, 60);
+    request.steps[0].image = Some(Arc::from(IMAGE));
+    request
+}
+
+/// What a kind has crashed is its own: the other kinds lose no further target to it.
+#[test]
+fn the_targets_that_a_kind_has_crashed_are_the_first_of_its_part() {
+    let (_, bad) = kinds();
+    for (first, second) in
+        (0..SIDES).flat_map(|first| (0..first).map(move |second| (first, second)))
+    {
+        let mut told = Told::new();
+        told.crash(10, first, &[of_kind(ran(7, 0, 12), bad)]);
+        told.crash(30, second, &[of_kind(ran(7, 0, 11), bad)]);
+        let effects = told.entry.submit(40, 1, job(8, 32, 60), 2_000);
+        let used: Vec<u64> = starts(&effects).iter().map(|(side, _)| *side).collect();
+        assert!(!used.is_empty());
+        let is_own = |side: &u64| *side == first || *side == second;
+        assert!(!used.iter().any(is_own), "{first} and {second}: {used:?}");
+        let effects = told.entry.submit(41, 2, imaged(9, 32), 2_000);
+        let used: Vec<u64> = starts(&effects).iter().map(|(side, _)| *side).collect();
+        assert!(used.iter().any(is_own), "{first} and {second}: {used:?}");
+    }
+}
