fix(entry): a known suspect does not contain its kind again

What callers saw: a kind that had shown to be sound was kept to a few targets for four seconds more.

Cause: after a release a single crash at the kind's usual age contains it again, so that new bad jobs are found at once. A job that had crashed a target before the release and came again did so too, and so did a sound run of the kind beside it, if it was of about that age.

Change: tasks that had crashed a target before the release do not count for their kind; they are failed, as two crashes are known.

Test: `a_known_suspect_does_not_contain_its_kind_again` failed before (two containments in place of one).

--- a/crates/mastknot_core/src/scheduler/contained_kinds.rs
+++ b/crates/mastknot_core/src/scheduler/contained_kinds.rs
@@ -9,7 +9,9 @@
 use super::active_job::{ActiveJob, TaskState};
 use super::job_scheduler::JobScheduler;
 use super::side_view::{SideTrial, SideView};
-use crate::job::{JobAnswer, JobId, LearnedSuspect, TargetCrash, TaskKind, ran_alike, trial_time};
+use crate::job::{
+    CrashedRun, JobAnswer, JobId, LearnedSuspect, TargetCrash, TaskKind, ran_alike, trial_time,
+};
 use crate::types::{Moment, NodeName, stable_hash_of};
 
 /// The share of the work of a kind of which little is known yet.
@@ -32,6 +34,7 @@
         side: &NodeName,
         crash: &TargetCrash,
     ) {
+        let crash = &self.without_known_suspects(crash);
         let mut contained = self.containment.note_crash(now, side, crash);
         for crashed in &crash.runs {
             let kind = crashed.kind;
@@ -60,6 +63,20 @@
         self.requeue_all(now);
     }
 
+    /// The crash without the tasks of released kinds that had crashed targets before the release: they say nothing of the
+    /// new tasks of their kind.
+    fn without_known_suspects(&self, crash: &TargetCrash) -> TargetCrash {
+        let is_news = |run: &CrashedRun| {
+            let released = self.containment.released(run.kind);
+            let first = self.crashes.first_crash(&run.run.task);
+            let both = released.zip(first);
+            both.is_none_or(|(released, first)| first > released)
+        };
+        let mut news = crash.clone();
+        news.runs.retain(is_news);
+        news
+    }
+
     /// Contains the kinds that earlier processes had contained: finding them again would cost targets.
     pub(super) fn contain_learned(&mut self, now: Moment, suspects: &[LearnedSuspect]) {
         let mut contained = Vec::new();
--- a/crates/mastknot_core/src/scheduler/containment.rs
+++ b/crates/mastknot_core/src/scheduler/containment.rs
@@ -34,7 +34,8 @@
     /// Runs that did their work while the kind was contained, and how many of them since the last crash.
     done: u32,
     done_since: u32,
-    is_contained: bool,
+    /// When it was released; none while it is contained.
+    released: Option<Moment>,
 }
 
 impl SuspectKind {
@@ -47,7 +48,7 @@
             crashes: 1,
             done: 0,
             done_since: 0,
-            is_contained: true,
+            released: None,
         }
     }
 
@@ -63,6 +64,10 @@
         }
     }
 
+    fn is_contained(&self) -> bool {
+        self.released.is_none()
+    }
+
     fn contain_again(&mut self, now: Moment) {
         *self = Self::new(now, self.ran, self.part);
     }
@@ -99,7 +104,7 @@
         part: f64,
     ) -> bool {
         match self.kinds.get_mut(&kind) {
-            Some(known) if known.is_contained => {
+            Some(known) if known.is_contained() => {
                 known.ran = known.ran.max(ran);
                 false
             }
@@ -127,9 +132,14 @@
         true
     }
 
+    /// When a kind was released; none if it is contained or has never been.
+    pub(crate) fn released(&self, kind: TaskKind) -> Option<Moment> {
+        self.kinds.get(&kind)?.released
+    }
+
     /// The kinds that are contained, for those who come after.
     pub(crate) fn learned(&self) -> Vec<LearnedSuspect> {
-        let contained = self.kinds.iter().filter(|(_, known)| known.is_contained);
+        let contained = self.kinds.iter().filter(|(_, known)| known.is_contained());
         let learned = contained.map(|(kind, known)| LearnedSuspect {
             kind: *kind,
             crashed_after_ms: known.ran.as_millis() as u32,
@@ -169,7 +179,7 @@
             let ran = known.ran;
             let is_like = of_kind.any(|run| ran_alike(run.ran(), ran));
             let is_cause = is_like && !crash.was_silent;
-            if known.is_contained {
+            if known.is_contained() {
                 known.note_crash(now);
             } else if is_cause {
                 known.contain_again(now);
@@ -197,7 +207,11 @@
 
     /// A run of the kind has done its work.
     pub(crate) fn note_done(&mut self, kind: TaskKind) {
-        if let Some(known) = self.kinds.get_mut(&kind).filter(|known| known.is_contained) {
+        if let Some(known) = self
+            .kinds
+            .get_mut(&kind)
+            .filter(|known| known.is_contained())
+        {
             known.done += 1;
             known.done_since += 1;
         }
@@ -207,14 +221,14 @@
     pub(crate) fn release(&mut self, now: Moment) -> Vec<TaskKind> {
         let mut released = Vec::new();
         for (kind, known) in &mut self.kinds {
-            if known.is_contained && known.is_sound(now) {
-                known.is_contained = false;
+            if known.is_contained() && known.is_sound(now) {
+                known.released = Some(now);
                 released.push(*kind);
             }
         }
         let is_of_use = |known: &SuspectKind| now.since(known.last_crash) < REMEMBERED;
         self.kinds
-            .retain(|_, known| known.is_contained || is_of_use(known));
+            .retain(|_, known| known.is_contained() || is_of_use(known));
         released
     }
 
@@ -222,13 +236,13 @@
     pub(crate) fn ran(&self, kind: TaskKind) -> Option<Duration> {
         let known = self.kinds.get(&kind);
         known
-            .filter(|known| known.is_contained)
+            .filter(|known| known.is_contained())
             .map(|known| known.ran)
     }
 
     /// The kinds that are contained, and their parts of the targets.
     pub(crate) fn contained(&self) -> impl Iterator<Item = (TaskKind, f64)> {
-        let contained = self.kinds.iter().filter(|(_, known)| known.is_contained);
+        let contained = self.kinds.iter().filter(|(_, known)| known.is_contained());
         contained.map(|(kind, known)| (*kind, known.part))
     }
 
@@ -239,7 +253,7 @@
 
     /// When time alone releases a kind.
     pub(crate) fn due(&self) -> Option<Moment> {
-        let contained = self.kinds.values().filter(|known| known.is_contained);
+        let contained = self.kinds.values().filter(|known| known.is_contained());
         contained
             .map(|known| known.last_crash + MOST_CONTAINED)
             .min()
--- a/crates/mastknot_core/src/scheduler/crash_memory.rs
+++ b/crates/mastknot_core/src/scheduler/crash_memory.rs
@@ -210,6 +210,12 @@
         runs.map(|run| run.ran.as_millis() as u32).collect()
     }
 
+    /// When a target crashed under a task for the first time, as far as that is remembered.
+    pub(crate) fn first_crash(&self, task: &TaskRef) -> Option<Moment> {
+        let runs = self.runs.get(task)?;
+        runs.iter().map(|run| run.crashed).min()
+    }
+
     /// Whether no crash is remembered.
     pub(crate) fn is_empty(&self) -> bool {
         self.known.is_empty()
--- a/crates/mastknot_core/tests/crash_evidence.rs
+++ b/crates/mastknot_core/tests/crash_evidence.rs
@@ -149,3 +149,36 @@
         assert!(used.iter().any(is_own), "{first} and {second}: {used:?}");
     }
 }
+
+/// When a kind that was contained at this time has been released.
+const RELEASED_AFTER_MS: u64 = 10_001;
+
+/// An entry at which a kind was contained and released, and job 6 had crashed a target like the others of the kind.
+fn released() -> (Told, TaskKind, u64) {
+    let (_, bad) = kinds();
+    let mut told = Told::new();
+    told.crash(10, 0, &[of_kind(ran(7, 0, 12), bad)]);
+    told.crash(30, 1, &[of_kind(ran(7, 0, 11), bad)]);
+    told.crash(50, 2, &[of_kind(ran(6, 0, 12), bad)]);
+    assert_eq!(told.entry.scheduler.counters().kinds_contained, 1);
+    let now = 50 + RELEASED_AFTER_MS;
+    for side in 0..SIDES {
+        told.entry.join(now, side, 16_000);
+    }
+    assert_eq!(told.entry.scheduler.counters().kinds_released, 1);
+    (told, bad, now)
+}
+
+/// A job that had crashed a target before the release says nothing of the new jobs of its kind.
+#[test]
+fn a_known_suspect_does_not_contain_its_kind_again() {
+    let (mut told, bad, now) = released();
+    let beside = of_kind(ran(11, 0, 15), bad);
+    told.crash(now + 10, 3, &[of_kind(ran(6, 0, 12), bad), beside]);
+    assert_eq!(told.entry.scheduler.counters().kinds_contained, 1);
+    assert!(told.is_failed(now + 20, 6));
+
+    let (mut told, bad, now) = released();
+    told.crash(now + 10, 3, &[of_kind(ran(10, 0, 12), bad)]);
+    assert_eq!(told.entry.scheduler.counters().kinds_contained, 2);
+}
