fix(entry): room that is granted to others does not make a target full

Cause: a target is rated by how full it is, and an entry took all that it might not start itself for used. Where room is granted it sees of most targets one grant or nothing, so that a fast target with half of its room free looked full, and long tasks went to slow ones; the penalty for a slow one is smaller than that for a full one.

Change: a report says what is free besides and not the entry's to start; the rating goes by both, what may be started by the one alone. The part of a contained kind, which follows from what the others use, had the same fault and goes by both too.

--- a/crates/mastknot_core/src/agent/reporting.rs
+++ b/crates/mastknot_core/src/agent/reporting.rs
@@ -73,6 +73,10 @@
         let known = self.owners.get(key);
         let free = known.map(|owner| self.shown_to(owner, shared));
         let free = free.unwrap_or_default();
+        let hidden = match self.is_granting() {
+            true => self.free().without(&free),
+            false => Room::default(),
+        };
         let target = self.link.profile.clone();
         let condition = self.condition;
         let is_cold = self.is_cold;
@@ -109,6 +113,7 @@
             number,
             starts_included: owner.starts,
             free,
+            hidden,
             is_offer: owner.offer.is_some_and(|offer| offer.is_needed),
             grant,
             load,
--- a/crates/mastknot_core/src/job/side_report.rs
+++ b/crates/mastknot_core/src/job/side_report.rs
@@ -72,6 +72,8 @@
     pub starts_included: u64,
     /// What this entry may start now.
     pub free: Room,
+    /// What is free besides, and not this entry's to start, where room is granted.
+    pub hidden: Room,
     /// Whether some of it is kept for this entry, until its next heartbeat.
     pub is_offer: bool,
     /// What of it is granted to this entry alone, where room is granted.
--- a/crates/mastknot_core/src/scheduler/contained_kinds.rs
+++ b/crates/mastknot_core/src/scheduler/contained_kinds.rs
@@ -195,7 +195,7 @@
                 .target
                 .as_ref()
                 .map_or(0, |target| target.capacity.cpu_millis);
-            let free = side.free().cpu_millis.min(capacity);
+            let free = side.unused().cpu_millis.min(capacity);
             (used + f64::from(capacity - free), all + f64::from(capacity))
         });
         if all > 0.0 { used / all } else { 1.0 }
--- a/crates/mastknot_core/src/scheduler/placing.rs
+++ b/crates/mastknot_core/src/scheduler/placing.rs
@@ -351,7 +351,7 @@
     let spec = job.step(task);
     let capacity = side.target.as_ref().map(|target| target.capacity);
     let capacity = capacity.unwrap_or_default();
-    let used = capacity.without(&side.free()).with(&spec.room);
+    let used = capacity.without(&side.unused()).with(&spec.room);
     let mut score = used.permille_of(&capacity);
     score += side.distance;
     if job.tasks[task].avoided.contains(name) {
--- a/crates/mastknot_core/src/scheduler/side_view.rs
+++ b/crates/mastknot_core/src/scheduler/side_view.rs
@@ -81,6 +81,8 @@
     /// What waits there, and when that was told.
     pub(crate) load: Option<(SideLoad, Moment)>,
     free: Room,
+    /// What is free there besides, and not this entry's to start.
+    hidden: Room,
     starts: u64,
     unseen: VecDeque<UnseenStart>,
 }
@@ -115,6 +117,7 @@
             owes_rest: false,
             load: None,
             free: Room::default(),
+            hidden: Room::default(),
             starts: 0,
             unseen: VecDeque::new(),
         }
@@ -131,6 +134,7 @@
         self.told_news = None;
         self.condition = TargetCondition::Absent;
         self.free = Room::default();
+        self.hidden = Room::default();
         self.grant = None;
         self.owes_rest = false;
         self.load = None;
@@ -141,6 +145,7 @@
     pub(crate) fn take_status(&mut self, now: Moment, status: &SideStatus) {
         self.heard_number = self.heard_number.max(status.number);
         self.free = status.free;
+        self.hidden = status.hidden;
         self.grant = status
             .grant
             .map(|grant| HeldGrant::new(now, &grant, status.is_offer));
@@ -208,10 +213,16 @@
         unseen.fold(self.free, |free, start| free.without(&start.room))
     }
 
+    /// The room that no run is believed to take, whoever may start there.
+    pub(crate) fn unused(&self) -> Room {
+        self.free().with(&self.hidden)
+    }
+
     /// Drops a grant: its time is over, or the side is told that what is left of it is not needed.
     pub(crate) fn drop_grant(&mut self) {
         if let Some(grant) = self.grant.take() {
             self.free = self.free.without(&grant.room);
+            self.hidden = self.hidden.with(&grant.room);
         }
     }
 
--- a/crates/mastknot_core/tests/common/entry.rs
+++ b/crates/mastknot_core/tests/common/entry.rs
@@ -170,6 +170,21 @@
         self.submit_as(ms, caller, job, left, 0)
     }
 
+    /// Submits a job of a queue that competes with others by priority.
+    pub fn submit_ranked(
+        &mut self,
+        ms: u64,
+        caller: u64,
+        job: JobRequest,
+        left: u64,
+    ) -> Vec<SchedulerEffect> {
+        let policy = QueuePolicy {
+            is_ranked: true,
+            ..policy(0)
+        };
+        self.submit_under(ms, caller, job, left, policy)
+    }
+
     /// Submits a job of a queue with a priority.
     pub fn submit_as(
         &mut self,
@@ -179,16 +194,17 @@
         left: u64,
         priority: u32,
     ) -> Vec<SchedulerEffect> {
-        let policy = QueuePolicy {
-            name: Arc::from("queue"),
-            service: Arc::from("service"),
-            priority,
-            max_attempts: 2,
-            stretch: 1.6,
-            allowance: Duration::from_millis(60),
-            is_ranked: false,
-            version: 1,
-        };
+        self.submit_under(ms, caller, job, left, policy(priority))
+    }
+
+    fn submit_under(
+        &mut self,
+        ms: u64,
+        caller: u64,
+        job: JobRequest,
+        left: u64,
+        policy: QueuePolicy,
+    ) -> Vec<SchedulerEffect> {
         let event = SchedulerEvent::Submit {
             caller: CallerId(caller),
             job,
@@ -200,6 +216,19 @@
     }
 }
 
+fn policy(priority: u32) -> QueuePolicy {
+    QueuePolicy {
+        name: Arc::from("queue"),
+        service: Arc::from("service"),
+        priority,
+        max_attempts: 2,
+        stretch: 1.6,
+        allowance: Duration::from_millis(60),
+        is_ranked: false,
+        version: 1,
+    }
+}
+
 pub fn job(id: u64, tasks: u16, millis: u64) -> JobRequest {
     JobRequest {
         id: JobId(id),
