fix(entry): a task is in time at a target only if its caller still waits

What a caller saw: its job timed out three times in a row, each time on slow targets, with fast ones free.

Cause: the penalty of a target on which a task would be late was worked out against the job's objective, which can lie beyond the time that its callers have: long work, or a long guess.

Change: the time that is left is that of the callers where it is the shorter one.

Test: `a_task_is_in_time_only_if_its_caller_still_waits` failed before.

--- a/crates/mastknot_core/src/scheduler/target_classes.rs
+++ b/crates/mastknot_core/src/scheduler/target_classes.rs
@@ -73,11 +73,12 @@
 
 impl ActiveJob {
     /// The time that is left for work that is expected to take `expected`: until the objective, or until the job is late for
-    /// good if the objective can't be reached.
+    /// good if the objective can't be reached; never longer than its callers wait.
     fn time_left(&self, now: Moment, expected: Duration) -> Duration {
-        match now + expected <= self.times.objective {
-            true => self.times.objective.since(now),
-            false => self.times.late.since(now),
-        }
+        let end = match now + expected <= self.times.objective {
+            true => self.times.objective,
+            false => self.times.late,
+        };
+        end.min(self.deadline).since(now)
     }
 }
--- a/crates/mastknot_core/tests/unequal_targets.rs
+++ b/crates/mastknot_core/tests/unequal_targets.rs
@@ -18,6 +18,8 @@
 const WORK_MS: u64 = 400;
 /// Callers wait for longer than any target takes.
 const PATIENT_MS: u64 = 2_000;
+/// They don't wait for as long as the slow target takes.
+const HASTY_MS: u64 = 520;
 
 fn pace(class: &str, log_ratio: f64) -> LearnedPace {
     LearnedPace {
@@ -81,3 +83,10 @@
     assert_eq!(place(entry(1_600, 0), PATIENT_MS), SLOW);
     assert_eq!(place(entry(1_600, 12_800), PATIENT_MS), FAST);
 }
+
+/// What a caller saw: its job timed out three times in a row, each time on slow targets that were in time for the
+/// objective, which lay beyond its deadline.
+#[test]
+fn a_task_is_in_time_only_if_its_caller_still_waits() {
+    assert_eq!(place(entry(4_800, 0), HASTY_MS), FAST);
+}
