refactor(entry): a run at a crash has a file of its own

Cause: the memory of crashes had grown to hold the run, its time limit and the judgement. Change: a move, and doc comments for what is seen from outside now; no behaviour.

--- a/crates/mastknot_core/src/scheduler/crash_memory.rs
+++ b/crates/mastknot_core/src/scheduler/crash_memory.rs
@@ -1,7 +1,8 @@
 use std::collections::{BTreeMap, HashSet, VecDeque};
 use std::time::Duration;
 
-use crate::job::{CrashedRun, TargetCrash, TargetId, TaskRef, ran_alike};
+use super::run_at_crash::RunAtCrash;
+use crate::job::{CrashedRun, TargetCrash, TargetId, TaskRef};
 use crate::types::{Moment, NodeName};
 
 /// For how long crashes are remembered: a caller without an answer comes again a few times, some seconds apart.
@@ -12,9 +13,6 @@
 /// cost a target and all that runs there. Fewer would give up innocent ones in a storm of crashes.
 const MOST_CRASHES: usize = 5;
 
-/// A target that crashes so soon after a start may well have been crashed by it: runs of innocent tasks are seldom
-/// that young when their target crashes for the second time.
-pub(crate) const SOON: Duration = Duration::from_millis(100);
 /// So many alike crashes soon after its start tell that a task did it.
 const ALIKE_IF_SOON: usize = 2;
 /// So many tell it for later ones, which innocent tasks have by chance.
@@ -32,51 +30,6 @@
     Guilty,
 }
 
-/// A run whose target crashed.
-#[derive(Clone, Copy, Debug)]
-struct RunAtCrash {
-    /// The number of the crash.
-    crash: u64,
-    /// When that was.
-    crashed: Moment,
-    ran: Duration,
-    /// Whether its target is known to have started it.
-    has_begun: bool,
-    /// Whether it may have ended before the crash.
-    may_have_ended: bool,
-    /// Whether the time of the crash is known.
-    is_timed: bool,
-}
-
-impl RunAtCrash {
-    fn new(known: &KnownCrash, crash: &TargetCrash, crashed: &CrashedRun) -> Self {
-        Self {
-            crash: known.number,
-            crashed: known.at,
-            ran: crashed.ran(),
-            has_begun: crashed.has_begun,
-            may_have_ended: crashed.may_have_ended,
-            is_timed: !crash.was_silent,
-        }
-    }
-
-    fn is_soon(&self) -> bool {
-        let is_certain = self.is_timed && self.has_begun && !self.may_have_ended;
-        is_certain && self.ran <= SOON
-    }
-
-    fn is_alike(&self, other: &Self) -> bool {
-        ran_alike(self.ran, other.ran)
-    }
-
-    /// Whether one of the two began after the other's target had crashed. Tasks that begin together have the same age when
-    /// their targets crash together, whatever brings that about.
-    fn is_apart(&self, other: &Self) -> bool {
-        let is_after = |later: &Self, earlier: &Self| later.crashed >= earlier.crashed + later.ran;
-        self.crash != other.crash && (is_after(self, other) || is_after(other, self))
-    }
-}
-
 /// A crash that is remembered.
 #[derive(Clone, Debug)]
 struct KnownCrash {
@@ -120,7 +73,7 @@
         self.next_number += 1;
         for crashed in &crash.runs {
             let runs = self.runs.entry(crashed.run.task).or_default();
-            runs.push(RunAtCrash::new(&known, crash, crashed));
+            runs.push(RunAtCrash::new(known.number, known.at, crash, crashed));
         }
         self.known.push_back(known);
         self.clear_bystanders(&tasks);
--- a/crates/mastknot_core/src/scheduler/mod.rs
+++ b/crates/mastknot_core/src/scheduler/mod.rs
@@ -33,6 +33,7 @@
 mod return_times;
 mod reviewing;
 mod room_had;
+mod run_at_crash;
 mod run_times;
 mod scarcity_settings;
 mod scheduler_counters;
--- a/crates/mastknot_core/src/scheduler/suspects.rs
+++ b/crates/mastknot_core/src/scheduler/suspects.rs
@@ -5,8 +5,9 @@
 
 use super::SchedulerDecision;
 use super::active_job::{ActiveJob, TaskState};
-use super::crash_memory::{CrashStanding, SOON};
+use super::crash_memory::CrashStanding;
 use super::job_scheduler::JobScheduler;
+use super::run_at_crash::SOON;
 use super::side_view::SideView;
 use crate::job::{FailureCause, JobAnswer, JobId, TargetCrash, TaskRef, ran_alike, trial_time};
 use crate::types::{Moment, NodeName};
