fix(entry): what a kind has crashed outlasts the processes

What callers saw: in the two seconds after a restart of all processes beside a kind that crashes targets, jobs of sound kinds refused.

Cause: which sides a contained kind had crashed decides which targets are its part, and was known to the processes alone. After their restart the kind was known from the store and its part drawn by name: it got targets that stood, and left the dead ones to the others.

Change: the learned document names the sides, 16 a kind at most; its format is another one, so that an older document counts as none.

Test: `what_a_kind_had_crashed_outlasts_the_processes`; the property test of the document draws names that are too long and too many. Four older tests name the new field.

--- a/crates/mastknot_core/src/job/learned_profile.rs
+++ b/crates/mastknot_core/src/job/learned_profile.rs
@@ -4,7 +4,7 @@
 use bincode::{Decode, Encode};
 
 use super::TaskKind;
-use crate::types::WallTime;
+use crate::types::{NodeName, WallTime};
 
 /// The most runs that a belief of another process counts as: so many fresh ones outweigh it.
 const MOST_RUNS: u32 = 32;
@@ -60,7 +60,7 @@
 }
 
 /// A kind of tasks that crashes the targets on which it starts.
-#[derive(Clone, Copy, Debug, PartialEq, Encode, Decode)]
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
 pub struct LearnedSuspect {
     /// The kind.
     pub kind: TaskKind,
@@ -68,6 +68,8 @@
     pub crashed_after_ms: u32,
     /// The part of the targets that it has, in thousandths.
     pub part_per_mille: u16,
+    /// The first sides whose targets it has crashed, in the order of the crashes.
+    pub crashed: Vec<NodeName>,
 }
 
 impl LearnedProfile {
--- a/crates/mastknot_core/src/job/profile_codec.rs
+++ b/crates/mastknot_core/src/job/profile_codec.rs
@@ -17,12 +17,14 @@
 pub const MAX_PROFILE_BYTES: usize = 32 * 1024;
 
 /// Goes up with each change of what the bytes mean.
-const FORMAT: u32 = u32::from_be_bytes(*b"MKP1");
+const FORMAT: u32 = u32::from_be_bytes(*b"MKP2");
 /// Format (4 bytes), length (4) and checksum (8) of what follows, each with its lowest byte first.
 const HEADER_BYTES: usize = 16;
 const MAX_PACES: usize = 512;
 const MAX_RUN_TIMES: usize = 256;
 const MAX_SUSPECTS: usize = 64;
+/// The most sides that are kept of one suspect: kinds have few targets of their own.
+const MAX_CRASHED: usize = 16;
 /// The longest name of a queue or class.
 const MAX_NAME_BYTES: usize = 96;
 /// No logarithm of a time or ratio is larger: a run takes less than ages.
@@ -40,6 +42,9 @@
             }
             kept.paces.truncate(kept.paces.len() / 2);
             kept.run_times.truncate(kept.run_times.len() / 2);
+            for suspect in &mut kept.suspects {
+                suspect.crashed.truncate(suspect.crashed.len() / 2);
+            }
         }
     }
 
@@ -56,6 +61,9 @@
         let mut kept = self.clone();
         kept.paces.retain(LearnedPace::is_sound);
         kept.run_times.retain(LearnedRunTimes::is_sound);
+        for suspect in &mut kept.suspects {
+            suspect.crashed.truncate(MAX_CRASHED);
+        }
         kept.suspects.retain(LearnedSuspect::is_sound);
         kept.paces.sort_by_key(|pace| std::cmp::Reverse(pace.runs));
         kept.run_times
@@ -98,7 +106,10 @@
 
 impl LearnedSuspect {
     fn is_sound(&self) -> bool {
+        let mut names = self.crashed.iter();
         (1..=PER_MILLE).contains(&self.part_per_mille)
+            && self.crashed.len() <= MAX_CRASHED
+            && names.all(|name| name.as_str().len() <= MAX_NAME_BYTES)
     }
 }
 
--- a/crates/mastknot_core/src/scheduler/containment.rs
+++ b/crates/mastknot_core/src/scheduler/containment.rs
@@ -127,7 +127,10 @@
         }
         let ran = Duration::from_millis(u64::from(learned.crashed_after_ms));
         let part = f64::from(learned.part_per_mille) / PER_MILLE;
-        let suspect = SuspectKind::new(now, ran, part);
+        let suspect = SuspectKind {
+            crashed: learned.crashed.clone(),
+            ..SuspectKind::new(now, ran, part)
+        };
         self.kinds.insert(learned.kind, suspect);
         true
     }
@@ -144,6 +147,7 @@
             kind: *kind,
             crashed_after_ms: known.ran.as_millis() as u32,
             part_per_mille: (known.part * PER_MILLE).clamp(1.0, PER_MILLE) as u16,
+            crashed: known.crashed.clone(),
         });
         learned.collect()
     }
--- a/crates/mastknot_core/tests/crash_evidence.rs
+++ b/crates/mastknot_core/tests/crash_evidence.rs
@@ -6,10 +6,13 @@
 
 use common::entry::*;
 use mastknot_core::job::{
-    CrashedRun, FailureCause, JobAnswer, JobId, JobRequest, RunId, SideReport, TargetCrash,
-    TargetId, TaskKind, TaskRef,
+    CrashedRun, FailureCause, JobAnswer, JobId, JobRequest, LearnedProfile, LearnedSuspect, RunId,
+    SideReport, TargetCrash, TargetId, TaskKind, TaskRef,
 };
-use mastknot_core::scheduler::SchedulerEffect;
+use mastknot_core::scheduler::{SchedulerEffect, SchedulerEvent};
+use mastknot_core::types::WallTime;
+
+const WRITTEN: u64 = 1_700_000_000_000;
 
 const FAILED: JobAnswer = JobAnswer::Failed {
     cause: FailureCause::CrashesTargets,
@@ -150,6 +153,40 @@
     }
 }
 
+/// What callers saw: after a restart of all processes jobs of sound kinds were refused. A contained kind got other targets than before,
+/// which it went on to crash, while those that it had crashed were still gone.
+#[test]
+fn what_a_kind_had_crashed_outlasts_the_processes() {
+    let (_, bad) = kinds();
+    for own in 0..SIDES {
+        let mut told = Told::new();
+        let suspect = LearnedSuspect {
+            kind: bad,
+            crashed_after_ms: 12,
+            part_per_mille: 125,
+            crashed: vec![format!("side-{own}").as_str().into()],
+        };
+        let profile = LearnedProfile {
+            written_ms: WRITTEN,
+            suspects: vec![suspect.clone()],
+            ..LearnedProfile::default()
+        };
+        let event = SchedulerEvent::Learned {
+            profile: Arc::new(profile),
+            wall: WallTime::from_millis(WRITTEN + 1_000),
+        };
+        told.entry.scheduler.step(at(10), event);
+        assert_eq!(told.entry.scheduler.learned().suspects, [suspect]);
+        let effects = told.entry.submit(20, 1, job(8, 32, 60), 2_000);
+        let used = starts(&effects);
+        assert!(used.iter().all(|(side, _)| *side != own), "{own}: {used:?}");
+        let effects = told.entry.submit(21, 2, imaged(9, 4), 2_000);
+        let used = starts(&effects);
+        assert!(used.iter().all(|(side, _)| *side == own), "{own}: {used:?}");
+        assert!(!used.is_empty());
+    }
+}
+
 /// When a kind that was contained at this time has been released.
 const RELEASED_AFTER_MS: u64 = 10_001;
 
--- a/crates/mastknot_core/tests/learned_profile.rs
+++ b/crates/mastknot_core/tests/learned_profile.rs
@@ -46,6 +46,7 @@
         kind: TaskKind::new(queue, None),
         crashed_after_ms: 12,
         part_per_mille: 250,
+        crashed: vec!["side-3".into(), "side-1".into()],
     }
 }
 
--- a/crates/mastknot_core/tests/profile_writing.rs
+++ b/crates/mastknot_core/tests/profile_writing.rs
@@ -41,6 +41,7 @@
         kind: TaskKind(number),
         crashed_after_ms: 10,
         part_per_mille: 200,
+        crashed: Vec::new(),
     }
 }
 
@@ -213,7 +214,7 @@
     let read = ledger.note_read(at(2), Some((7, &sent)));
     assert!(matches!(read, ProfileRead::Known), "{read:?}");
     assert_eq!(
-        ledger.known().map(|known| known.suspects[0]),
+        ledger.known().map(|known| known.suspects[0].clone()),
         Some(suspect(1))
     );
 }
--- a/crates/mastknot_runtime/tests/profile_keeper.rs
+++ b/crates/mastknot_runtime/tests/profile_keeper.rs
@@ -202,6 +202,7 @@
             kind: TaskKind(*number),
             crashed_after_ms: 10,
             part_per_mille: 250,
+            crashed: Vec::new(),
         });
         self.own.lock().expect("own").suspects = suspects.collect();
     }
--- a/crates/mastknot_virtual/tests/learned_profile_bytes.rs
+++ b/crates/mastknot_virtual/tests/learned_profile_bytes.rs
@@ -56,11 +56,13 @@
 }
 
 fn suspect() -> impl Strategy<Value = LearnedSuspect> {
-    (any::<u32>(), any::<u32>(), any::<u16>()).prop_map(|(kind, crashed_after_ms, part)| {
+    let figures = (any::<u32>(), any::<u32>(), any::<u16>());
+    (figures, vec("[a-z0-9-]{0,120}", 0..24)).prop_map(|((kind, after_ms, part), names)| {
         LearnedSuspect {
             kind: TaskKind(kind),
-            crashed_after_ms,
+            crashed_after_ms: after_ms,
             part_per_mille: part,
+            crashed: names.iter().map(|name| name.as_str().into()).collect(),
         }
     })
 }
