fix(side): the store is asked again for what the target was

What callers saw: after a loss of all processes beside a store that was away at that moment, nothing was served until each target's own next report, up to its heartbeat of 1.5 s. Cause: a side asked the store once at its start what its target had said; any error ended that without a word in the log. Change: asked again after 0.5 s, doubling to 8 s, until the store answers or the target has reported; each failure is logged. Test: a_side_asks_again_until_the_store_answers failed before (20 s without the target's name in a look), 11 of 11 after.

--- a/crates/mastknot_side/src/agent/target_memory.rs
+++ b/crates/mastknot_side/src/agent/target_memory.rs
@@ -17,6 +17,8 @@
 const RENEWAL: Duration = Duration::from_secs(180);
 /// After a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(500);
+/// Pauses double up to this one: a store that is down is asked by every side.
+const LONGEST_PAUSE: Duration = Duration::from_secs(8);
 /// The bytes of a frame's length, which the store's value goes without.
 const LENGTH_BYTES: usize = 4;
 
@@ -30,7 +32,12 @@
     key: String,
     mut profiles: watch::Receiver<Option<TargetProfile>>,
 ) {
-    recall(&node, &store, &key).await;
+    let mut reported = profiles.clone();
+    tokio::select! {
+        () = recall(&node, &store, &key) => {}
+        // The target itself has said what the store might remember.
+        _ = reported.wait_for(Option::is_some) => {}
+    }
     let mut lease = None;
     loop {
         let known = profiles.borrow_and_update().clone();
@@ -54,11 +61,18 @@
     }
 }
 
+/// Tells the agent what the store remembers; asks again as long as the store gives no answer.
 async fn recall<P: TargetPort, S: SharedStore>(node: &AgentNode<P>, store: &S, key: &str) {
-    let Ok(Some(item)) = store.read(key).await else {
-        return;
+    let mut pause = RETRY_PAUSE;
+    let item = loop {
+        match store.read(key).await {
+            Ok(item) => break item,
+            Err(error) => warn!(error:%; "remembered target not read, asked again"),
+        }
+        sleep(pause).await;
+        pause = (pause * 2).min(LONGEST_PAUSE);
     };
-    let Some(value) = item.value else {
+    let Some(value) = item.and_then(|item| item.value) else {
         return;
     };
     match decode_message::<TargetProfile>(&value) {
@@ -66,7 +80,7 @@
             info!(target_id:% = profile.id; "target remembered by the store");
             node.target_remembered(profile).await;
         }
-        Err(error) => warn!(error:%; "remembered target not read"),
+        Err(error) => warn!(error:%; "remembered target not understood"),
     }
 }
 
