test(virtual): the store of the virtual system remembers targets

The product's sides keep what their targets say in the store and ask it at their start; the virtual system dropped it, so that a restart of all processes there left them without room until the targets' next reports (next to none of the short jobs served for 130 ms after one at 8.5 s, none for 0.8 s after one at 6.3 s). It is a control that was missing, not a fault of callers.

--- a/crates/mastknot_virtual/src/jobs/act.rs
+++ b/crates/mastknot_virtual/src/jobs/act.rs
@@ -95,6 +95,11 @@
         side: usize,
         lives: u64,
     },
+    /// A side that has started has an answer to its call for what its target is.
+    TargetRecalled {
+        side: usize,
+        life: u64,
+    },
     Submit {
         job: JobId,
         entry: usize,
--- a/crates/mastknot_virtual/src/jobs/job_system.rs
+++ b/crates/mastknot_virtual/src/jobs/job_system.rs
@@ -4,7 +4,8 @@
 
 use mastknot_core::agent::{AgentEvent, DialBackoff, SessionId, TargetAgent};
 use mastknot_core::job::{
-    ConfigDocument, DrainedHalls, JobId, JobRequest, RoomGrant, ShareWeights, TaskRef,
+    ConfigDocument, DrainedHalls, JobId, JobRequest, RoomGrant, ShareWeights, TargetProfile,
+    TaskRef,
 };
 use mastknot_core::profile::ProfileLedger;
 use mastknot_core::scheduler::{CallerId, JobScheduler, ScarcitySettings, SchedulerEvent};
@@ -148,6 +149,8 @@
     pub(super) drain_variant: DrainVariant,
     /// How often a wrong way has taken news of drained halls for the newest.
     pub(super) words_heard: u64,
+    /// What targets have said of themselves, as the store has it.
+    pub(super) remembered_targets: HashMap<usize, TargetProfile>,
     /// What entries have learned, as the store has it.
     pub(super) profile_store: ProfileStore,
     /// What each entry knows of it.
@@ -212,6 +215,7 @@
             store_away_until: vec![0; settings.entries],
             drain_variant: DrainVariant::Right,
             words_heard: 0,
+            remembered_targets: HashMap::new(),
             profile_store: ProfileStore::default(),
             ledgers: vec![ProfileLedger::default(); settings.entries],
             repeated_grants: None,
@@ -376,6 +380,7 @@
             Act::TargetDue { side } => self.advance_target(side),
             Act::CrashUnder { side, lives, run } => self.crash_under(side, lives, run),
             Act::Beat { side, lives } => self.beat(side, lives),
+            Act::TargetRecalled { side, life } => self.target_recalled(side, life),
             Act::Submit { job, entry } => self.submit_now(job, entry),
             Act::Leave { job } => self.callers_leave(job),
             Act::Abandon {
@@ -435,6 +440,7 @@
             Act::ToSide { side, .. }
             | Act::DownAtSide { side, .. }
             | Act::TickSide { side, .. }
+            | Act::TargetRecalled { side, .. }
             | Act::SideInput { side, .. } => self.sides[*side].frozen_until,
             _ => 0,
         };
--- a/crates/mastknot_virtual/src/jobs/mod.rs
+++ b/crates/mastknot_virtual/src/jobs/mod.rs
@@ -17,6 +17,7 @@
 mod step_record;
 mod strikes;
 mod submitting;
+mod target_memory;
 mod target_slot;
 mod targets;
 mod thin_links;
--- a/crates/mastknot_virtual/src/jobs/processes.rs
+++ b/crates/mastknot_virtual/src/jobs/processes.rs
@@ -84,6 +84,7 @@
             self.first_dial(entry_place(&entry), side, LINK_DELAY + pause);
         }
         self.step_side(side, AgentEvent::Tick);
+        self.ask_for_target(side);
     }
 
     fn first_dial(&mut self, entry: usize, side: usize, pause: u64) {
@@ -243,10 +244,8 @@
                 };
                 self.order_look(side, open, wait.as_micros() as u64);
             }
-            AgentEffect::Entries(_)
-            | AgentEffect::TargetKnown(_)
-            | AgentEffect::Decided(_)
-            | AgentEffect::Drained => {}
+            AgentEffect::TargetKnown(profile) => self.remember_target(side, profile),
+            AgentEffect::Entries(_) | AgentEffect::Decided(_) | AgentEffect::Drained => {}
         }
     }
 }
