fix(entry): jobs with time left give way to those that find no room and have less of it

Cause: what the kill lost comes back at once. Long jobs that could wait for 600 ms took the room that there was, since a job started as soon as a target had room for it; they hold it for 900 ms, and the many small ones that come with them and after them pay. Ruled out by counts: room that stands free, entries that disagree, crashes outside of the part.

Change: a job that found no room for a tenth of its slack is pressed. As long as somebody was pressed within the time for which such a job can wait, jobs of other queues, not more urgent ones, that have more time left wait, begun ones too, until they have as little time or until nine tenths of their patience are over. No queue is starved by it: one that has lost a larger share of its jobs than the queue that is pressed (fading over four seconds) gives way no more. Patience is as it was: longer patience serves more in a crowd that passes and less in one that stays (docs/design/overload.md).

Tests: giving_way.rs, of the entry's core alone; three of its eight assert what the code did before.

--- /dev/null
+++ b/crates/mastknot_core/src/scheduler/giving_way.rs
@@ -0,0 +1,182 @@
+//! Jobs with time left give way, before they start, to those that find no room and have less of it.
+//!
+//! Room is short for a moment when many callers come at once. A job that could start later holds the room that it takes
+//! for as long as it runs, and many that could not wait are lost to it.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::active_job::ActiveJob;
+use super::job_scheduler::JobScheduler;
+use super::queue_losses::QueueLosses;
+use super::{OrderKey, Outlook};
+use crate::job::{JobAnswer, JobId};
+use crate::types::Moment;
+
+/// A job that has waited for this part of its slack is pressed: what waits for less finds room with the next reports.
+const PRESSED_FROM: f64 = 0.1;
+/// A job gives way for this part of its patience: the rest is for its own turn.
+const GIVEN_PATIENCE: f64 = 0.9;
+/// How many waiting jobs are looked at in one go.
+const MAX_LOOKED_AT: usize = 128;
+
+/// The last job of a service that found no room although it has little time.
+#[derive(Clone, Debug)]
+struct Pressed {
+    at: Moment,
+    queue: Arc<str>,
+    priority: u32,
+    slack: Duration,
+}
+
+impl Pressed {
+    /// Room counts as short until nobody was pressed for as long as such a job can wait.
+    fn is_over(&self, now: Moment) -> bool {
+        now.since(self.at) >= self.slack
+    }
+}
+
+/// For whom jobs give way.
+#[derive(Clone, Debug, Default)]
+pub(super) struct GivingWay {
+    /// By service.
+    pressed: HashMap<Arc<str>, Pressed>,
+    losses: QueueLosses,
+    /// When the first of the jobs that give way has its turn.
+    due: Option<Moment>,
+}
+
+impl GivingWay {
+    /// Notes a pressed job, unless one with less time is pressed already.
+    fn press(&mut self, service: &Arc<str>, pressed: Pressed) {
+        let known = self.pressed.get(service);
+        let known = known.filter(|known| !known.is_over(pressed.at));
+        if known.is_none_or(|known| pressed.slack <= known.slack) {
+            self.pressed.insert(Arc::clone(service), pressed);
+        }
+    }
+
+    /// Until when a job gives way; none if it has its turn.
+    fn gives_way_until(&self, now: Moment, key: &OrderKey, job: &ActiveJob) -> Option<Moment> {
+        let pressed = self.pressed.get(&job.policy.service)?;
+        if pressed.is_over(now) || key.outlook != Outlook::InTime {
+            return None;
+        }
+        // No queue loses more of its jobs than the one that it gives way to.
+        let is_due_more = job.policy.priority < pressed.priority
+            || job.policy.name == pressed.queue
+            || self.losses.share(&job.policy.name) > self.losses.share(&pressed.queue);
+        if is_due_more {
+            return None;
+        }
+        let turn = job.own_turn().min(key.latest_start - pressed.slack);
+        (turn > now).then(|| turn.min(pressed.at + pressed.slack))
+    }
+}
+
+impl ActiveJob {
+    /// From then on it waits for nobody.
+    pub(super) fn own_turn(&self) -> Moment {
+        let patience = self.patience_ends.since(self.arrived);
+        self.arrived + patience.mul_f64(GIVEN_PATIENCE)
+    }
+}
+
+impl JobScheduler {
+    /// When the first of the jobs that give way has its turn.
+    pub(super) fn turn_due(&self) -> Option<Moment> {
+        let due = self.giving_way.due.filter(|due| *due > self.handled);
+        due.filter(|_| !self.waiting.is_empty())
+    }
+
+    /// The first jobs that have their turn, of those that wait for targets that are open to all.
+    pub(super) fn first_in_turn(&mut self, now: Moment, most: usize) -> Vec<JobId> {
+        let mut first = Vec::new();
+        let mut due: Option<Moment> = None;
+        for (key, id) in self.waiting_free() {
+            match self.gives_way_until(now, key, id) {
+                Some(turn) => due = Some(due.map_or(turn, |due| due.min(turn))),
+                None if first.len() < most => first.push(*id),
+                None => {}
+            }
+        }
+        self.giving_way.due = due;
+        first
+    }
+
+    /// Jobs that wait for targets that are open to all, the first ones.
+    pub(super) fn waiting_free(&self) -> impl Iterator<Item = (&OrderKey, &JobId)> {
+        let free = self.waiting.range(..OrderKey::FIRST_CONTAINED);
+        free.take(MAX_LOOKED_AT)
+    }
+
+    /// Until when a waiting job gives way; none if it has its turn.
+    pub(super) fn gives_way_until(
+        &self,
+        now: Moment,
+        key: &OrderKey,
+        id: &JobId,
+    ) -> Option<Moment> {
+        // Where room is granted the sides give it by priority and in small pieces.
+        if self.is_granted_room() {
+            return None;
+        }
+        let job = self.jobs.get(id)?;
+        self.giving_way.gives_way_until(now, key, job)
+    }
+
+    /// A job in its turn found no room.
+    pub(super) fn note_no_room(&mut self, now: Moment, id: JobId) {
+        let Some(job) = self.jobs.get(&id).filter(|job| self.shows_crowd(job)) else {
+            return;
+        };
+        let slack = job.times.slack;
+        if now.since(job.arrived) < slack.mul_f64(PRESSED_FROM) {
+            return;
+        }
+        let service = Arc::clone(&job.policy.service);
+        let pressed = Pressed {
+            at: now,
+            queue: Arc::clone(&job.policy.name),
+            priority: job.policy.priority,
+            slack,
+        };
+        self.giving_way.press(&service, pressed);
+    }
+
+    /// Whether room is short for others as well where this job finds none: it can still be in time, and no target is
+    /// closed to it alone.
+    fn shows_crowd(&self, job: &ActiveJob) -> bool {
+        let is_in_time = job
+            .key
+            .is_some_and(|key| key.outlook == Outlook::InTime && !key.is_contained);
+        let mut waiting = job.waiting().into_iter();
+        is_in_time
+            && waiting.any(|task| {
+                let step = job.step(task);
+                let takes_any = step.required_label.is_none() && step.max_per_target == 0;
+                takes_any && self.suspect_by_itself(job, task).is_none()
+            })
+    }
+
+    /// A job is answered: its queue has lost it or not.
+    pub(super) fn note_answer(
+        &mut self,
+        now: Moment,
+        id: JobId,
+        answer: JobAnswer,
+        is_in_time: bool,
+    ) {
+        let Some(job) = self.jobs.get(&id) else {
+            return;
+        };
+        // What kinds that crash targets lose, they lose to themselves.
+        if matches!(answer, JobAnswer::Failed { .. }) || self.contained_kind(job).is_some() {
+            return;
+        }
+        let is_served = answer == JobAnswer::Completed && is_in_time;
+        let queue = Arc::clone(&job.policy.name);
+        self.giving_way.losses.note(now, &queue, !is_served);
+    }
+}
--- a/crates/mastknot_core/src/scheduler/job_scheduler.rs
+++ b/crates/mastknot_core/src/scheduler/job_scheduler.rs
@@ -9,6 +9,7 @@
 use super::containment::Containment;
 use super::crash_memory::CrashMemory;
 use super::demand_forecast::DemandForecast;
+use super::giving_way::GivingWay;
 use super::held_grants::ToldNeed;
 use super::kind_loads::KindLoads;
 use super::learned_beliefs::LearnedBeliefs;
@@ -75,6 +76,8 @@
     pub(super) handled: Moment,
     /// What is observed for the forecast.
     pub(super) demand: DemandForecast,
+    /// Who waits for others while room is short for a moment.
+    pub(super) giving_way: GivingWay,
     pub(super) has_told_waiting: bool,
     /// Whether jobs have come to queues that compete by priority.
     pub(super) has_ranked_queues: bool,
@@ -125,6 +128,7 @@
             parted_kinds: Vec::new(),
             handled: Moment::default(),
             demand: DemandForecast::default(),
+            giving_way: GivingWay::default(),
             has_told_waiting: false,
             has_ranked_queues: false,
             first_priorities: HashMap::new(),
@@ -238,6 +242,7 @@
             .chain(self.sides_due)
             .chain(self.greetings_due())
             .chain(outlook)
+            .chain(self.turn_due())
             .chain(self.review_due())
             .chain(self.relay_due())
             .chain(self.active_links_due())
--- a/crates/mastknot_core/src/scheduler/order_key.rs
+++ b/crates/mastknot_core/src/scheduler/order_key.rs
@@ -40,6 +40,8 @@
     pub(crate) objective: Moment,
     /// It is late until then.
     pub(crate) late: Moment,
+    /// For how long it could wait for room when it came.
+    pub(crate) slack: Duration,
 }
 
 /// Priorities from this one on count alike in [`OrderKey::rank`].
--- a/crates/mastknot_core/src/scheduler/placing.rs
+++ b/crates/mastknot_core/src/scheduler/placing.rs
@@ -50,7 +50,7 @@
         self.refresh_outlooks(now);
         let candidates = self.candidates(now);
         // Jobs of contained kinds wait for targets of their own: neither sort holds the other up.
-        let free = first_jobs(self.waiting.range(..OrderKey::FIRST_CONTAINED));
+        let free = self.first_in_turn(now, MAX_SCANNED);
         let contained = first_jobs(self.waiting.range(OrderKey::FIRST_CONTAINED..));
         let misses = self.place_jobs(now, &free, &candidates);
         let contained_misses = self.place_jobs(now, &contained, &candidates);
@@ -65,6 +65,7 @@
         for id in jobs {
             if candidates.is_empty() || !self.place_job(now, *id, candidates) {
                 misses += 1;
+                self.note_no_room(now, *id);
             }
             if misses >= MAX_MISSES {
                 break;
@@ -98,10 +99,12 @@
     /// What waits here, as far as it is as urgent as the first of it.
     pub(super) fn waiting_need(&self, now: Moment) -> Option<WaitingNeed> {
         // Contained kinds have targets of their own, where others take no room from them.
-        let free = self.waiting.range(..OrderKey::FIRST_CONTAINED);
-        let rank = free.clone().next()?.0.rank();
+        let free = self.waiting_free();
+        let in_turn = free.filter(|(key, id)| self.gives_way_until(now, key, id).is_none());
+        let mut in_turn = in_turn.take(MAX_SCANNED).peekable();
+        let rank = in_turn.peek()?.0.rank();
         let mut need: Option<WaitingNeed> = None;
-        for (key, id) in free.take(MAX_SCANNED) {
+        for (key, id) in in_turn {
             if key.rank() != rank {
                 break;
             }
--- a/crates/mastknot_core/src/scheduler/submitting.rs
+++ b/crates/mastknot_core/src/scheduler/submitting.rs
@@ -61,6 +61,7 @@
             times: JobTimes {
                 objective: now,
                 late: now,
+                slack: Duration::ZERO,
             },
             attempts: AttemptNumbers::starting_at(wall),
             first_start: None,
@@ -102,6 +103,7 @@
         job.times = JobTimes {
             objective: now + span,
             late: now + span * self.settings.late_factor,
+            slack: span.min(job.deadline.since(now)).saturating_sub(chain),
         };
     }
 
@@ -231,6 +233,7 @@
             return;
         }
         let objective = job.observed_objective().unwrap_or(job.times.objective);
+        let in_time = now <= objective;
         let first_start = job.first_start.map(|at| at.since(job.arrived));
         let answered = SchedulerDecision::Answered {
             job: id,
@@ -239,7 +242,7 @@
             after_ms: now.since(job.arrived).as_millis() as u64,
             first_start_ms: first_start.map(|time| time.as_millis() as u64),
             starts: job.starts,
-            in_time: now <= objective,
+            in_time,
         };
         for caller in std::mem::take(&mut job.callers) {
             self.callers.remove(&caller);
@@ -253,6 +256,7 @@
             JobAnswer::TimedOut => self.counters.jobs_timed_out += 1,
         }
         self.decided(answered);
+        self.note_answer(now, id, answer, in_time);
         self.end_job(now, id);
     }
 }
--- a/crates/mastknot_core/tests/common/entry.rs
+++ b/crates/mastknot_core/tests/common/entry.rs
@@ -197,6 +197,21 @@
         self.submit_under(ms, caller, job, left, policy(priority))
     }
 
+    /// Submits a job of another queue of the same priority.
+    pub fn submit_to(
+        &mut self,
+        queue: &str,
+        ms: u64,
+        caller: u64,
+        job: JobRequest,
+    ) -> Vec<SchedulerEffect> {
+        let policy = QueuePolicy {
+            name: Arc::from(queue),
+            ..policy(0)
+        };
+        self.submit_under(ms, caller, job, 9_000, policy)
+    }
+
     fn submit_under(
         &mut self,
         ms: u64,
--- /dev/null
+++ b/crates/mastknot_core/tests/giving_way.rs
@@ -0,0 +1,128 @@
+//! Jobs with time left give way to those that find no room and have less of it.
+//!
+//! What callers saw: when many came at once after a restart, a few long jobs that could have waited took all the room, and many
+//! short ones were refused while they ran. The cause: a job started as soon as a target had room for it, whoever waited
+//! or was about to come with less time.
+
+mod common;
+
+use common::entry::*;
+use mastknot_core::job::{EndOfRun, EndedRun, JobId};
+use mastknot_core::scheduler::{SchedulerEffect, SchedulerEvent};
+
+/// The jobs of which tasks are started, in order.
+fn started_jobs(effects: &[SchedulerEffect]) -> Vec<JobId> {
+    let starts = starts(effects);
+    starts.iter().map(|(_, run)| run.task.job).collect()
+}
+
+/// An entry without room at which a job of 200 ms has waited for 40 of the 180 ms that it can, and a job of 900 ms has
+/// just come that can wait for 600 ms.
+fn pressed() -> Entry {
+    let mut entry = Entry::with_sides(&[0]);
+    entry.submit_to("small", 10, 1, job(1, 1, 200));
+    entry.submit_to("large", 50, 2, job(2, 1, 900));
+    entry
+}
+
+fn tick(entry: &mut Entry, ms: u64) -> Vec<SchedulerEffect> {
+    entry.scheduler.step(at(ms), SchedulerEvent::Tick)
+}
+
+#[test]
+fn room_is_kept_for_small_jobs_while_they_are_pressed() {
+    let mut entry = pressed();
+    let effects = entry.status(55, 0, 3_200, 0, None, Vec::new());
+    assert_eq!(started_jobs(&effects), [JobId(1)]);
+    let effects = entry.submit_to("small", 60, 3, job(3, 1, 200));
+    assert_eq!(started_jobs(&effects), [JobId(3)]);
+}
+
+#[test]
+fn a_job_has_its_turn_once_nobody_is_pressed_any_more() {
+    let mut entry = pressed();
+    entry.status(55, 0, 3_200, 0, None, Vec::new());
+    // The small job last found no room at 50 ms, and such a job can wait for 180 ms.
+    assert_eq!(
+        entry.scheduler.next_tick().map(|due| due <= at(230)),
+        Some(true)
+    );
+    assert_eq!(started_jobs(&tick(&mut entry, 229)), []);
+    assert_eq!(started_jobs(&tick(&mut entry, 230)), [JobId(2)]);
+}
+
+#[test]
+fn a_job_that_gives_way_keeps_a_part_of_its_patience_for_its_own_turn() {
+    let mut entry = pressed();
+    for number in 0..6 {
+        entry.submit_to(
+            "small",
+            80 + number * 50,
+            10 + number,
+            job(10 + number, 1, 200),
+        );
+        let effects = entry.status(100 + number * 50, 0, 0, 0, None, Vec::new());
+        assert_eq!(started_jobs(&effects), []);
+    }
+    // Its patience ends 375 ms after it came; the last tenth of that is its own.
+    let effects = entry.status(387, 0, 16_000, 0, None, Vec::new());
+    assert!(!started_jobs(&effects).contains(&JobId(2)), "{effects:?}");
+    let effects = tick(&mut entry, 388);
+    assert_eq!(started_jobs(&effects), [JobId(2)]);
+}
+
+#[test]
+fn a_begun_job_with_time_left_gives_way_too() {
+    let mut entry = Entry::with_sides(&[1_600]);
+    let effects = entry.submit_to("large", 10, 1, job(1, 2, 900));
+    assert_eq!(started_jobs(&effects), [JobId(1)]);
+    entry.submit_to("small", 20, 2, job(2, 1, 200));
+    entry.status(60, 0, 0, 1, None, Vec::new());
+    let effects = entry.status(65, 0, 1_600, 1, None, Vec::new());
+    assert_eq!(started_jobs(&effects), [JobId(2)]);
+}
+
+#[test]
+fn a_queue_that_has_lost_more_gives_way_no_more() {
+    let mut entry = Entry::with_sides(&[0]);
+    entry.submit_to("large", 10, 1, job(1, 1, 900));
+    entry.status(300, 0, 0, 0, None, Vec::new());
+    // The large queue has lost a job, the small one none.
+    let effects = entry.status(500, 0, 0, 0, None, Vec::new());
+    assert_eq!(answers(&effects).len(), 1);
+    entry.submit_to("small", 510, 2, job(2, 1, 200));
+    entry.submit_to("large", 550, 3, job(3, 1, 900));
+    let effects = entry.status(555, 0, 3_200, 0, None, Vec::new());
+    assert_eq!(started_jobs(&effects), [JobId(2), JobId(3)]);
+}
+
+#[test]
+fn jobs_of_a_more_urgent_queue_do_not_give_way() {
+    let mut entry = Entry::with_sides(&[0]);
+    entry.submit_as(10, 1, job(1, 1, 200), 9_000, 1);
+    entry.submit_to("large", 50, 2, job(2, 1, 900));
+    let effects = entry.status(55, 0, 3_200, 0, None, Vec::new());
+    assert_eq!(started_jobs(&effects), [JobId(2), JobId(1)]);
+}
+
+#[test]
+fn room_that_is_short_for_a_moment_only_makes_nobody_wait() {
+    let mut entry = Entry::with_sides(&[0]);
+    entry.submit_to("small", 10, 1, job(1, 1, 200));
+    entry.submit_to("large", 15, 2, job(2, 1, 900));
+    let effects = entry.status(20, 0, 3_200, 0, None, Vec::new());
+    assert_eq!(started_jobs(&effects), [JobId(1), JobId(2)]);
+}
+
+#[test]
+fn small_jobs_that_are_served_press_nobody() {
+    let mut entry = Entry::with_sides(&[16_000]);
+    let effects = entry.submit_to("small", 10, 1, job(1, 1, 200));
+    let done = starts(&effects).into_iter().map(|(_, run)| EndedRun {
+        ran_ms: 200,
+        ..ended(run, EndOfRun::Done)
+    });
+    entry.status(220, 0, 16_000, 1, None, done.collect());
+    let effects = entry.submit_to("large", 230, 2, job(2, 1, 900));
+    assert_eq!(started_jobs(&effects), [JobId(2)]);
+}
