fix(entry): a job with time left begins with all its tasks or waits

Cause: a job of which one task has begun is finished before all that is new, at its entry and in the sides' offers. A long job that found room for one of its four tasks so took the next three places too, ahead of small ones that could wait for less.

Change: a job that can wait for more than 400 ms and of which nothing has begun waits until all its tasks find room, for nine tenths of its patience at most, and only as long as its queue has lost no more than half of its jobs of late. It holds up nobody meanwhile.

--- a/crates/mastknot_core/src/job/room.rs
+++ b/crates/mastknot_core/src/job/room.rs
@@ -19,6 +19,17 @@
             && task.accelerators <= self.accelerators
     }
 
+    /// How many tasks of this room fit into this.
+    pub fn count_of(&self, task: &Self) -> u32 {
+        let whole = [self.cpu_millis, self.memory_mb, self.accelerators];
+        let each = [task.cpu_millis, task.memory_mb, task.accelerators];
+        let counts = whole.into_iter().zip(each).filter(|(_, each)| *each > 0);
+        counts
+            .map(|(whole, each)| whole / each)
+            .min()
+            .unwrap_or(u32::MAX)
+    }
+
     /// What is left without `task`, nothing below zero.
     pub fn without(&self, task: &Self) -> Self {
         Self {
--- a/crates/mastknot_core/src/scheduler/giving_way.rs
+++ b/crates/mastknot_core/src/scheduler/giving_way.rs
@@ -57,6 +57,11 @@
         }
     }
 
+    /// The share of its jobs that a queue has lost of late, from 0 to 1.
+    pub(super) fn lost_share(&self, queue: &str) -> f64 {
+        self.losses.share(queue)
+    }
+
     /// Until when a job gives way; none if it has its turn.
     fn gives_way_until(&self, now: Moment, key: &OrderKey, job: &ActiveJob) -> Option<Moment> {
         let pressed = self.pressed.get(&job.policy.service)?;
--- a/crates/mastknot_core/src/scheduler/mod.rs
+++ b/crates/mastknot_core/src/scheduler/mod.rs
@@ -49,6 +49,7 @@
 mod submitting;
 mod suspects;
 mod target_classes;
+mod whole_starts;
 
 pub use admission::{Admission, AdmissionInput, LOOKED_AT_EACH};
 pub use forecast::{Forecast, ForecastInput};
--- a/crates/mastknot_core/src/scheduler/placing.rs
+++ b/crates/mastknot_core/src/scheduler/placing.rs
@@ -35,9 +35,9 @@
 
 /// A side that may get a start.
 #[derive(Clone, Copy, Debug)]
-struct Candidate {
+pub(super) struct Candidate {
     /// Its place among the sides.
-    place: usize,
+    pub(super) place: usize,
     /// Whether its target is slow: it gets one task as a try.
     is_slow: bool,
 }
@@ -63,6 +63,9 @@
     fn place_jobs(&mut self, now: Moment, jobs: &[JobId], candidates: &[Candidate]) -> usize {
         let mut misses = 0;
         for id in jobs {
+            if self.waits_to_begin_whole(now, *id, candidates) {
+                continue;
+            }
             if candidates.is_empty() || !self.place_job(now, *id, candidates) {
                 misses += 1;
                 self.note_no_room(now, *id);
@@ -314,7 +317,7 @@
     waiting.take(MAX_SCANNED).map(|(_, id)| *id).collect()
 }
 
-fn is_suitable(job: &ActiveJob, task: usize, side: &SideView) -> bool {
+pub(super) fn is_suitable(job: &ActiveJob, task: usize, side: &SideView) -> bool {
     let spec = job.step(task);
     let Some(target) = &side.target else {
         return false;
