refactor(roster): membership.rs is split along its jobs

Membership stays one type; each of its jobs has a file now: accepting keys, adopting versions, proposing changes, renewing the authority, and what is known of the peers. The long functions (acceptance against earlier holders, who has stopped, which change is due) are cut into short ones. Behaviour is the same.

--- a/crates/mastknot_core/src/roster/mod.rs
+++ b/crates/mastknot_core/src/roster/mod.rs
@@ -1,12 +1,17 @@
 //! Which entry holds a key, and whether it may accept new ones.
 
 mod acceptance;
+mod accepting;
+mod adopting;
 mod member;
 mod membership;
 mod membership_effect;
 mod membership_settings;
 mod past_roster;
 mod peer_view;
+mod peers;
+mod proposing;
+mod renewing;
 #[allow(clippy::module_inception)]
 mod roster;
 
--- a/crates/mastknot_core/src/roster/peer_view.rs
+++ b/crates/mastknot_core/src/roster/peer_view.rs
@@ -32,4 +32,9 @@
     pub(crate) fn is_dead(&self, incarnation: Incarnation) -> bool {
         self.dead_up_to.is_some_and(|dead| incarnation <= dead) || incarnation < self.incarnation
     }
+    /// Whether a run can't act under a version any more: it adopted a later one, or is dead.
+    pub(crate) fn has_moved_on(&self, incarnation: Incarnation, version: u64) -> bool {
+        let is_same_run = self.incarnation == incarnation;
+        (is_same_run && self.adopted > version) || self.is_dead(incarnation)
+    }
 }
