refactor(entry): entry_actor.rs is split along its jobs

The actor keeps its state, its start and its effects. The links to sides and peers, the other entries that are dialed and named, callers' requests, live resources and stored resources each have a file now. Adopting a roster and the loss of a side's link are cut into short functions. Behaviour is the same, and so are the log lines; their module path, which is not printed, follows the files.

The harness's other two test files and the platform's tests were not run.

--- /dev/null
+++ b/crates/mastknot_entry/src/actor/members.rs
@@ -0,0 +1,106 @@
+//! The other entries: who is dialed, and who is named to sides and peers.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use kameo::message::{Context, Message};
+use log::info;
+use mastknot_core::message::EntryMessage;
+use mastknot_core::roster::{MemberId, Roster};
+use tokio::sync::watch;
+
+use super::EntryActor;
+use super::messages::Ask;
+use crate::peers::{Hello, keep_dialing};
+
+/// An address that is dialed.
+pub(super) struct Dialed {
+    /// The run that the roster names there.
+    expected: watch::Sender<Option<MemberId>>,
+    task: tokio::task::AbortHandle,
+}
+
+impl Message<Ask> for EntryActor {
+    type Reply = Hello;
+
+    async fn handle(&mut self, _: Ask, _: &mut Context<Self, Self::Reply>) -> Hello {
+        Hello {
+            member: self.core.membership().me().clone(),
+            roster_version: self.core.membership().version(),
+            config_version: self.core.config().version(),
+            entries: self.entry_addresses(),
+        }
+    }
+}
+
+impl EntryActor {
+    pub(super) fn roster_adopted(&mut self, roster: &Roster) {
+        let names: Vec<&str> = roster.member_ids().map(|id| id.name.as_str()).collect();
+        info!(version = roster.version, members:? = names; "roster in force");
+        self.dial_members(roster);
+        self.welcome_sides();
+    }
+
+    /// Dials the members of a roster, and ends the dialing of all that are neither in it nor seeds.
+    fn dial_members(&mut self, roster: &Roster) {
+        let me = self.core.membership().me().id.clone();
+        let mut wanted: Vec<SocketAddr> = self.seeds.clone();
+        for member in roster.members.iter().filter(|member| member.id != me) {
+            if let Ok(address) = member.address.parse() {
+                wanted.push(address);
+                self.dial(address, Some(member.id.clone()));
+            }
+        }
+        self.dialed.retain(|address, dialed| {
+            let is_wanted = wanted.contains(address);
+            if !is_wanted {
+                dialed.task.abort();
+            }
+            is_wanted
+        });
+    }
+
+    /// Tells the sides which entries there are.
+    fn welcome_sides(&self) {
+        let me = self.core.membership().me().id.clone();
+        let welcome = EntryMessage::Welcome {
+            entry: me.name,
+            incarnation: me.incarnation,
+            entries: self.entry_addresses(),
+        };
+        for link in self.sides.values() {
+            let _ = link.sender.send(welcome.clone());
+        }
+    }
+
+    pub(super) fn dial(&mut self, address: SocketAddr, expected: Option<MemberId>) {
+        if let Some(dialed) = self.dialed.get(&address) {
+            dialed.expected.send_replace(expected);
+            return;
+        }
+        let (expected, expects) = watch::channel(expected);
+        let me = self.me.clone();
+        let stats = Arc::clone(&self.shared.stats);
+        let dialing = keep_dialing(me, address, expects, stats);
+        let task = self.dialing.spawn(dialing);
+        self.dialed.insert(address, Dialed { expected, task });
+    }
+
+    fn entry_addresses(&self) -> Vec<String> {
+        let me = self.core.membership().me();
+        let members = self
+            .core
+            .membership()
+            .roster()
+            .map(|roster| &roster.members);
+        let mut addresses: Vec<String> = members
+            .into_iter()
+            .flatten()
+            .map(|member| member.address.clone())
+            .collect();
+        if !addresses.contains(&me.address) {
+            addresses.push(me.address.clone());
+        }
+        addresses
+    }
+}
--- a/crates/mastknot_entry/src/actor/mod.rs
+++ b/crates/mastknot_entry/src/actor/mod.rs
@@ -1,7 +1,12 @@
 //! The actor that owns the entry's core.
 
 mod entry_actor;
+mod items;
+mod links;
+mod live;
+mod members;
 mod messages;
+mod requests;
 
 pub(crate) use entry_actor::{EntryActor, EntryParts, Shared};
 pub(crate) use messages::{
