fix(entry): what waits for all its tasks is woken in its turn, and sides hear nothing of it

Cause and change, one by one: such a job's turn is a due moment now, and it takes no look from others; what the targets could hold at most is asked first, by steps that are alike, with tasks that run apart and slow targets counted as such; its need is not told, so that no side keeps pieces for it that it leaves unused (and the entry none for 60 ms after); the first job that has its turn is told at once also while others wait for theirs; nobody gives way beyond its caller's time; a job without any slack presses nobody, and a less urgent one does not take the place of a more urgent one; a lost share fades while its queue is quiet.

--- a/crates/mastknot_core/src/scheduler/giving_way.rs
+++ b/crates/mastknot_core/src/scheduler/giving_way.rs
@@ -9,6 +9,7 @@
 
 use super::active_job::ActiveJob;
 use super::job_scheduler::JobScheduler;
+use super::placing::Candidate;
 use super::queue_losses::QueueLosses;
 use super::{OrderKey, Outlook};
 use crate::job::{JobAnswer, JobId};
@@ -18,6 +19,8 @@
 const PRESSED_FROM: f64 = 0.1;
 /// A job gives way for this part of its patience: the rest is for its own turn.
 const GIVEN_PATIENCE: f64 = 0.9;
+/// Queues whose lost shares differ by less have lost alike.
+const NEGLIGIBLE_SHARE: f64 = 0.01;
 /// How many waiting jobs are looked at in one go.
 const MAX_LOOKED_AT: usize = 128;
 
@@ -48,34 +51,36 @@
 }
 
 impl GivingWay {
-    /// Notes a pressed job, unless one with less time is pressed already.
+    /// Notes a pressed job, unless a more urgent one or one with less time is pressed already.
     fn press(&mut self, service: &Arc<str>, pressed: Pressed) {
         let known = self.pressed.get(service);
         let known = known.filter(|known| !known.is_over(pressed.at));
-        if known.is_none_or(|known| pressed.slack <= known.slack) {
+        let goes_before =
+            |known: &Pressed| pressed.priority <= known.priority && pressed.slack <= known.slack;
+        if known.is_none_or(goes_before) {
             self.pressed.insert(Arc::clone(service), pressed);
         }
     }
 
     /// The share of its jobs that a queue has lost of late, from 0 to 1.
-    pub(super) fn lost_share(&self, queue: &str) -> f64 {
-        self.losses.share(queue)
+    pub(super) fn lost_share(&self, now: Moment, queue: &str) -> f64 {
+        self.losses.share(now, queue)
     }
 
     /// Until when a job gives way; none if it has its turn.
     fn gives_way_until(&self, now: Moment, key: &OrderKey, job: &ActiveJob) -> Option<Moment> {
         let pressed = self.pressed.get(&job.policy.service)?;
-        if pressed.is_over(now) || key.outlook != Outlook::InTime {
+        let is_beside = job.policy.priority >= pressed.priority && job.policy.name != pressed.queue;
+        if pressed.is_over(now) || !job.is_in_time() || !is_beside {
             return None;
         }
         // No queue loses more of its jobs than the one that it gives way to.
-        let is_due_more = job.policy.priority < pressed.priority
-            || job.policy.name == pressed.queue
-            || self.losses.share(&job.policy.name) > self.losses.share(&pressed.queue);
-        if is_due_more {
+        let own = self.lost_share(now, &job.policy.name);
+        if own > self.lost_share(now, &pressed.queue) + NEGLIGIBLE_SHARE {
             return None;
         }
-        let turn = job.own_turn().min(key.latest_start - pressed.slack);
+        let latest_start = key.latest_start.min(job.arrived + job.times.slack);
+        let turn = job.own_turn().min(latest_start - pressed.slack);
         (turn > now).then(|| turn.min(pressed.at + pressed.slack))
     }
 }
@@ -86,21 +91,37 @@
         let patience = self.patience_ends.since(self.arrived);
         self.arrived + patience.mul_f64(GIVEN_PATIENCE)
     }
+
+    /// Whether it waits for targets that are open to all and can still be in time.
+    pub(super) fn is_in_time(&self) -> bool {
+        let key = self.key.filter(|key| !key.is_contained);
+        key.is_some_and(|key| key.outlook == Outlook::InTime)
+    }
 }
 
 impl JobScheduler {
-    /// When the first of the jobs that give way has its turn.
+    /// When the first of the jobs that wait for others has its turn.
     pub(super) fn turn_due(&self) -> Option<Moment> {
         let due = self.giving_way.due.filter(|due| *due > self.handled);
         due.filter(|_| !self.waiting.is_empty())
     }
 
-    /// The first jobs that have their turn, of those that wait for targets that are open to all.
-    pub(super) fn first_in_turn(&mut self, now: Moment, most: usize) -> Vec<JobId> {
+    /// The first jobs that have their turn, of those that wait for targets that are open to all; notes when the next
+    /// one has its turn.
+    pub(super) fn take_turns(
+        &mut self,
+        now: Moment,
+        candidates: &[Candidate],
+        most: usize,
+    ) -> Vec<JobId> {
         let mut first = Vec::new();
         let mut due: Option<Moment> = None;
         for (key, id) in self.waiting_free() {
-            match self.gives_way_until(now, key, id) {
+            let turn = self.gives_way_until(now, key, id).or_else(|| {
+                let whole = self.waits_whole_until(now, *id);
+                whole.filter(|_| !self.fits_whole(now, *id, candidates))
+            });
+            match turn {
                 Some(turn) => due = Some(due.map_or(turn, |due| due.min(turn))),
                 None if first.len() < most => first.push(*id),
                 None => {}
@@ -110,19 +131,26 @@
         first
     }
 
+    /// Whether a job waits for room and for nobody else.
+    pub(super) fn has_job_in_turn(&self, now: Moment) -> bool {
+        let mut first = self.waiting.iter().take(MAX_LOOKED_AT);
+        first.any(|(key, id)| key.is_contained || self.waits_until(now, key, id).is_none())
+    }
+
     /// Jobs that wait for targets that are open to all, the first ones.
     pub(super) fn waiting_free(&self) -> impl Iterator<Item = (&OrderKey, &JobId)> {
         let free = self.waiting.range(..OrderKey::FIRST_CONTAINED);
         free.take(MAX_LOOKED_AT)
     }
 
+    /// Until when a job needs no room of its own: it gives way, or waits for room for all its tasks.
+    pub(super) fn waits_until(&self, now: Moment, key: &OrderKey, id: &JobId) -> Option<Moment> {
+        let gives_way = self.gives_way_until(now, key, id);
+        gives_way.or_else(|| self.waits_whole_until(now, *id))
+    }
+
     /// Until when a waiting job gives way; none if it has its turn.
-    pub(super) fn gives_way_until(
-        &self,
-        now: Moment,
-        key: &OrderKey,
-        id: &JobId,
-    ) -> Option<Moment> {
+    fn gives_way_until(&self, now: Moment, key: &OrderKey, id: &JobId) -> Option<Moment> {
         // Where room is granted the sides give it by priority and in small pieces.
         if self.is_granted_room() {
             return None;
@@ -137,7 +165,7 @@
             return;
         };
         let slack = job.times.slack;
-        if now.since(job.arrived) < slack.mul_f64(PRESSED_FROM) {
+        if slack.is_zero() || now.since(job.arrived) < slack.mul_f64(PRESSED_FROM) {
             return;
         }
         let service = Arc::clone(&job.policy.service);
@@ -153,11 +181,8 @@
     /// Whether room is short for others as well where this job finds none: it can still be in time, and no target is
     /// closed to it alone.
     fn shows_crowd(&self, job: &ActiveJob) -> bool {
-        let is_in_time = job
-            .key
-            .is_some_and(|key| key.outlook == Outlook::InTime && !key.is_contained);
         let mut waiting = job.waiting().into_iter();
-        is_in_time
+        job.is_in_time()
             && waiting.any(|task| {
                 let step = job.step(task);
                 let takes_any = step.required_label.is_none() && step.max_per_target == 0;
--- a/crates/mastknot_core/src/scheduler/order_key.rs
+++ b/crates/mastknot_core/src/scheduler/order_key.rs
@@ -22,7 +22,7 @@
     /// What can still be in time goes before what can't.
     pub outlook: Outlook,
     /// Whether nothing of it has begun: a job that has begun earns nothing until all of it is done,
-    /// so it is finished first, whatever its queue's priority. Where room is granted this does not count for the most
+    /// so it is finished first, whatever its queue's priority, unless it gives way. Where room is granted this does not count for the most
     /// urgent queues, which take their turn by priority alone.
     pub is_new: bool,
     /// The queue's priority; lower ones go first.
--- a/crates/mastknot_core/src/scheduler/placing.rs
+++ b/crates/mastknot_core/src/scheduler/placing.rs
@@ -39,7 +39,7 @@
     /// Its place among the sides.
     pub(super) place: usize,
     /// Whether its target is slow: it gets one task as a try.
-    is_slow: bool,
+    pub(super) is_slow: bool,
 }
 
 impl JobScheduler {
@@ -50,7 +50,7 @@
         self.refresh_outlooks(now);
         let candidates = self.candidates(now);
         // Jobs of contained kinds wait for targets of their own: neither sort holds the other up.
-        let free = self.first_in_turn(now, MAX_SCANNED);
+        let free = self.take_turns(now, &candidates, MAX_SCANNED);
         let contained = first_jobs(self.waiting.range(OrderKey::FIRST_CONTAINED..));
         let misses = self.place_jobs(now, &free, &candidates);
         let contained_misses = self.place_jobs(now, &contained, &candidates);
@@ -63,7 +63,8 @@
     fn place_jobs(&mut self, now: Moment, jobs: &[JobId], candidates: &[Candidate]) -> usize {
         let mut misses = 0;
         for id in jobs {
-            if self.waits_to_begin_whole(now, *id, candidates) {
+            let waits = self.waits_whole_until(now, *id).is_some();
+            if waits && !self.fits_whole(now, *id, candidates) {
                 continue;
             }
             if candidates.is_empty() || !self.place_job(now, *id, candidates) {
@@ -103,7 +104,7 @@
     pub(super) fn waiting_need(&self, now: Moment) -> Option<WaitingNeed> {
         // Contained kinds have targets of their own, where others take no room from them.
         let free = self.waiting_free();
-        let in_turn = free.filter(|(key, id)| self.gives_way_until(now, key, id).is_none());
+        let in_turn = free.filter(|(key, id)| self.waits_until(now, key, id).is_none());
         let mut in_turn = in_turn.take(MAX_SCANNED).peekable();
         let rank = in_turn.peek()?.0.rank();
         let mut need: Option<WaitingNeed> = None;
@@ -317,7 +318,12 @@
     waiting.take(MAX_SCANNED).map(|(_, id)| *id).collect()
 }
 
-pub(super) fn is_suitable(job: &ActiveJob, task: usize, side: &SideView) -> bool {
+fn is_suitable(job: &ActiveJob, task: usize, side: &SideView) -> bool {
+    may_run(job, task, side) && side.free().holds(&job.step(task).room)
+}
+
+/// Whether a task may run at a side, whatever room there is.
+pub(super) fn may_run(job: &ActiveJob, task: usize, side: &SideView) -> bool {
     let spec = job.step(task);
     let Some(target) = &side.target else {
         return false;
@@ -326,7 +332,7 @@
         .required_label
         .iter()
         .all(|label| side.has_label(label));
-    *target.service == *job.policy.service && has_label && side.free().holds(&spec.room)
+    *target.service == *job.policy.service && has_label
 }
 
 fn is_slow(side: &SideView, median_pace: u32) -> bool {
--- a/crates/mastknot_core/src/scheduler/queue_losses.rs
+++ b/crates/mastknot_core/src/scheduler/queue_losses.rs
@@ -6,7 +6,7 @@
 
 /// What a queue lost weighs a third after this time: a crowd and its returns are over by then.
 const MEMORY: Duration = Duration::from_secs(4);
-/// The most queues that are kept.
+/// Beyond so many queues those that were quiet for long are forgotten.
 const MAX_QUEUES: usize = 256;
 
 /// The answers of a queue's jobs, fading.
@@ -26,8 +26,21 @@
         }
     }
 
+    /// What is left of the weight of an answer that was noted last.
+    fn left(&self, now: Moment) -> f64 {
+        (-now.since(self.at).as_secs_f64() / MEMORY.as_secs_f64()).exp()
+    }
+
+    fn all_left(&self, now: Moment) -> f64 {
+        self.all * self.left(now)
+    }
+
+    fn share(&self, now: Moment) -> f64 {
+        self.lost * self.left(now) / self.all_left(now).max(1.0)
+    }
+
     fn note(&mut self, now: Moment, is_lost: bool) {
-        let left = (-now.since(self.at).as_secs_f64() / MEMORY.as_secs_f64()).exp();
+        let left = self.left(now);
         self.at = now;
         self.lost = self.lost * left + f64::from(u8::from(is_lost));
         self.all = self.all * left + 1.0;
@@ -43,17 +56,18 @@
 impl QueueLosses {
     /// A job of the queue was answered.
     pub(super) fn note(&mut self, now: Moment, queue: &Arc<str>, is_lost: bool) {
-        if self.queues.len() == MAX_QUEUES && !self.queues.contains_key(queue) {
-            return;
+        if self.queues.len() >= MAX_QUEUES && !self.queues.contains_key(queue) {
+            self.queues
+                .retain(|_, answers| answers.all_left(now) >= 1.0);
         }
         let queue = self.queues.entry(Arc::clone(queue));
         let answers = queue.or_insert_with(|| FadingAnswers::new(now));
         answers.note(now, is_lost);
     }
 
-    /// The share of a queue, from 0 to 1; 0 for one that is not known.
-    pub(super) fn share(&self, queue: &str) -> f64 {
+    /// The share of a queue, from 0 to 1; 0 for one that is not known, and less and less for one that is quiet.
+    pub(super) fn share(&self, now: Moment, queue: &str) -> f64 {
         let answers = self.queues.get(queue);
-        answers.map_or(0.0, |answers| answers.lost / answers.all)
+        answers.map_or(0.0, |answers| answers.share(now))
     }
 }
--- a/crates/mastknot_core/src/scheduler/side_links.rs
+++ b/crates/mastknot_core/src/scheduler/side_links.rs
@@ -297,7 +297,7 @@
     /// Sends heartbeats that are due, answers offers of room, and tells some sides at once when
     /// tasks begin to wait.
     pub(super) fn beat(&mut self, now: Moment) {
-        let has_waiting = !self.waiting.is_empty();
+        let has_waiting = self.has_job_in_turn(now);
         let is_news = has_waiting && !self.has_told_waiting && !self.is_granted_room();
         self.has_told_waiting = has_waiting;
         if is_news {
--- a/crates/mastknot_core/src/scheduler/whole_starts.rs
+++ b/crates/mastknot_core/src/scheduler/whole_starts.rs
@@ -6,54 +6,90 @@
 
 use super::active_job::ActiveJob;
 use super::job_scheduler::JobScheduler;
-use super::placing::{Candidate, is_suitable};
-use super::{OrderKey, Outlook};
-use crate::job::JobId;
+use super::placing::{Candidate, may_run};
+use super::side_view::SideView;
+use crate::job::{JobId, Room};
 use crate::types::Moment;
 
 /// A job that can wait for less begins with what there is: room for all at once may not come in its time.
 const TIME_TO_SPARE: Duration = Duration::from_millis(400);
-/// A queue that has lost more than this share of its jobs of late waits no more: none is starved by it.
+/// A queue that has lost more than this share of its jobs of late waits no more.
 const MOST_LOST: f64 = 0.5;
 
 impl JobScheduler {
-    /// Whether a job waits until all its tasks find room.
+    /// Until when a job waits for room for all its tasks; none if it begins with what there is.
     ///
     /// Where room is granted it comes in small pieces, and the queues' priorities decide.
-    pub(super) fn waits_to_begin_whole(
-        &self,
-        now: Moment,
-        id: JobId,
-        candidates: &[Candidate],
-    ) -> bool {
-        let Some(job) = self.jobs.get(&id) else {
-            return false;
-        };
+    pub(super) fn waits_whole_until(&self, now: Moment, id: JobId) -> Option<Moment> {
+        let job = self.jobs.get(&id)?;
+        let turn = job.own_turn();
         let may_wait = !self.is_granted_room()
-            && job.key.is_some_and(|key| has_time(&key))
+            && job.is_in_time()
             && !job.may_have_begun()
             && job.times.slack > TIME_TO_SPARE
-            && now < job.own_turn()
-            && self.giving_way.lost_share(&job.policy.name) <= MOST_LOST;
-        may_wait && !self.fits_whole(now, job, candidates)
+            && now < turn
+            && self.giving_way.lost_share(now, &job.policy.name) <= MOST_LOST;
+        (may_wait && self.is_plain(job) && self.could_hold(now, job)).then_some(turn)
     }
 
-    fn fits_whole(&self, now: Moment, job: &ActiveJob, candidates: &[Candidate]) -> bool {
-        let waiting = job.waiting();
-        let Some(first) = waiting.first().copied() else {
+    /// Whether all tasks of a job find room now.
+    pub(super) fn fits_whole(&self, now: Moment, id: JobId, candidates: &[Candidate]) -> bool {
+        let Some(job) = self.jobs.get(&id) else {
             return true;
         };
-        let room = job.step(first).room;
-        let sides = candidates
-            .iter()
-            .map(|candidate| &self.sides[candidate.place]);
-        let suitable = sides
-            .filter(|side| is_suitable(job, first, side) && self.is_in_part(now, job, first, side));
-        let places = suitable.map(|side| side.free().count_of(&room) as usize);
-        places.sum::<usize>() >= waiting.len()
+        let sides = candidates.iter().map(|candidate| {
+            let side = &self.sides[candidate.place];
+            (side, side.free(), candidate.is_slow)
+        });
+        self.holds_all(now, job, sides)
+    }
+
+    /// Whether the targets that take work could hold all tasks of a job if they were idle.
+    fn could_hold(&self, now: Moment, job: &ActiveJob) -> bool {
+        let sides = self.sides.values().filter(|side| side.takes_work());
+        let sides = sides.map(|side| {
+            let target = side.target.as_ref();
+            let whole = target.map(|target| target.capacity).unwrap_or_default();
+            (side, whole, false)
+        });
+        self.holds_all(now, job, sides)
     }
-}
 
-fn has_time(key: &OrderKey) -> bool {
-    key.outlook == Outlook::InTime && !key.is_contained
+    /// Whether these sides, each with its room and whether it is only tried, hold all waiting tasks of a job.
+    fn holds_all<'a>(
+        &self,
+        now: Moment,
+        job: &ActiveJob,
+        sides: impl Iterator<Item = (&'a SideView, Room, bool)>,
+    ) -> bool {
+        let mut left = job.waiting().len();
+        let Some(task) = job.waiting().first().copied() else {
+            return true;
+        };
+        let step = job.step(task);
+        let most = match step.max_per_target {
+            0 => usize::MAX,
+            most => usize::from(most),
+        };
+        for (side, room, is_tried) in sides {
+            if left == 0 {
+                break;
+            }
+            let is_open = may_run(job, task, side) && self.is_in_part(now, job, task, side);
+            let most = if is_tried { 1 } else { most };
+            let places = (room.count_of(&step.room) as usize).min(most);
+            left = left.saturating_sub(if is_open { places } else { 0 });
+        }
+        left == 0
+    }
+
+    /// Whether a job's waiting tasks are alike, and none of them is a suspect that is tried by itself.
+    fn is_plain(&self, job: &ActiveJob) -> bool {
+        let waiting = job.waiting();
+        let step = |task: &usize| job.tasks[*task].name.step;
+        let first = waiting.first().map(step);
+        waiting
+            .iter()
+            .all(|task| Some(step(task)) == first && self.suspect_by_itself(job, *task).is_none())
+    }
 }
--- a/crates/mastknot_core/tests/giving_way.rs
+++ b/crates/mastknot_core/tests/giving_way.rs
@@ -7,7 +7,7 @@
 mod common;
 
 use common::entry::*;
-use mastknot_core::job::{EndOfRun, EndedRun, JobId, NotRunCause};
+use mastknot_core::job::{EndOfRun, EndedRun, EntryOrder, JobId, NotRunCause};
 use mastknot_core::scheduler::{SchedulerEffect, SchedulerEvent};
 
 /// The jobs of which tasks are started, in order.
@@ -129,3 +129,41 @@
     let effects = entry.submit_to("large", 230, 2, job(2, 1, 900));
     assert_eq!(started_jobs(&effects), [JobId(2)]);
 }
+
+#[test]
+fn a_job_whose_caller_leaves_soon_does_not_give_way() {
+    let mut entry = Entry::with_sides(&[0]);
+    entry.submit_to("small", 10, 1, job(1, 1, 200));
+    // Its caller's time leaves it 75 ms to spare.
+    entry.submit(50, 2, job(2, 1, 900), 1_000);
+    let effects = entry.status(55, 0, 3_200, 0, None, Vec::new());
+    assert_eq!(started_jobs(&effects), [JobId(1), JobId(2)]);
+}
+
+#[test]
+fn what_a_queue_lost_long_ago_is_forgotten() {
+    let mut entry = Entry::with_sides(&[0]);
+    entry.submit_to("large", 10, 1, job(1, 1, 900));
+    for ms in (300..30_000).step_by(300) {
+        entry.status(ms, 0, 0, 0, None, Vec::new());
+    }
+    entry.submit_to("small", 30_000, 2, job(2, 1, 200));
+    entry.submit_to("large", 30_040, 3, job(3, 1, 900));
+    let effects = entry.status(30_045, 0, 3_200, 0, None, Vec::new());
+    assert_eq!(started_jobs(&effects), [JobId(2)]);
+}
+
+/// Guards against sides that hear of a job with little time too late, as one that gives way waits already.
+#[test]
+fn sides_hear_at_once_of_the_first_job_that_has_its_turn() {
+    let mut entry = pressed();
+    entry.status(55, 0, 1_600, 0, None, Vec::new());
+    let effects = entry.submit_to("small", 60, 3, job(3, 1, 200));
+    let needs = effects.iter().filter(|effect| {
+        let SchedulerEffect::Send { order, .. } = effect else {
+            return false;
+        };
+        matches!(order, EntryOrder::Heartbeat { need: Some(_), .. })
+    });
+    assert_eq!(needs.count(), 1, "{effects:?}");
+}
