--- a/crates/mastknot_virtual/src/jobs/node.rs
+++ b/crates/mastknot_virtual/src/jobs/node.rs
@@ -1,4 +1,4 @@
-use std::collections::HashSet;
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use mastknot_core::agent::SessionId;
@@ -11,7 +11,7 @@
     /// For how long its VM has been suspended in this life.
     pub(super) asleep: u64,
     /// Links that this process holds open.
-    pub(super) open: HashSet<SessionId>,
+    pub(super) open: BTreeSet<SessionId>,
     pub(super) tick_at: Option<u64>,
 }
 
@@ -22,7 +22,7 @@
             life: 0,
             frozen_until: 0,
             asleep: 0,
-            open: HashSet::new(),
+            open: BTreeSet::new(),
             tick_at: None,
         }
     }
--- a/crates/mastknot_virtual/src/jobs/strikes.rs
+++ b/crates/mastknot_virtual/src/jobs/strikes.rs
@@ -1,6 +1,5 @@
 //! Faults, as they strike.
 
-use mastknot_core::agent::SessionId;
 use mastknot_core::scheduler::CallerId;
 
 use super::act::Act;
@@ -93,7 +92,7 @@
         let node = &mut self.entries[entry];
         node.core = None;
         node.life += 1;
-        let open: Vec<SessionId> = node.open.drain().collect();
+        let open = std::mem::take(&mut node.open);
         for session in open {
             self.drop_queue(session, true);
             let Some((_, side)) = self.sessions.get(&session).copied() else {
@@ -123,7 +122,7 @@
         node.core = None;
         node.life += 1;
         self.targets[side].open_look = None;
-        let open: Vec<SessionId> = self.sides[side].open.drain().collect();
+        let open = std::mem::take(&mut self.sides[side].open);
         for session in open {
             self.drop_queue(session, false);
             let Some((entry, _)) = self.sessions.get(&session).copied() else {
