fix(entry): what a contained kind crashes is its part at once

Cause: a kind's part is what it has crashed first, and then by rank, but it was drawn when the kind was contained and when links came or went, not when a further crash was heard. Runs that had begun before the containment crashed sides that stayed with the others, and the kind went on to crash the ranked ones beside. After a restart the part was drawn from the whole list, so that it changed: live sides became the kind's, and one that it had crashed was the others'. Why it works: the part follows the list at each crash, so it is the same before and after a restart and what is dead is the kind's. The test failed before.

--- a/crates/mastknot_core/src/scheduler/contained_kinds.rs
+++ b/crates/mastknot_core/src/scheduler/contained_kinds.rs
@@ -50,10 +50,11 @@
                 self.containment.note_side(kind, &side);
             }
         }
+        // A kind that is contained already may have crashed one more side.
+        self.reassign_parts();
         if contained.is_empty() {
             return;
         }
-        self.assign_parts();
         for kind in contained {
             self.counters.kinds_contained += 1;
             let targets = self.part_of(kind).count();
@@ -121,7 +122,7 @@
         has_part.then(|| self.containment.ran(kind)).flatten()
     }
 
-    /// Links have come or gone.
+    /// Links have come or gone, or a kind has crashed a target.
     pub(super) fn reassign_parts(&mut self) {
         if !self.containment.is_empty() {
             self.assign_parts();
--- a/crates/mastknot_core/tests/crash_evidence.rs
+++ b/crates/mastknot_core/tests/crash_evidence.rs
@@ -153,6 +153,23 @@
     }
 }
 
+/// Runs that had begun before a kind was contained crashed targets that stayed with the others, who lost as many sound ones to the kind.
+#[test]
+fn what_a_contained_kind_crashes_then_is_of_its_part_too() {
+    let (_, bad) = kinds();
+    let bad_run = |job, ran_ms| of_kind(ran(job, 0, ran_ms), bad);
+    for third in 2..SIDES {
+        let mut told = Told::new();
+        told.crash(10, 0, &[bad_run(7, 12)]);
+        told.crash(30, 1, &[bad_run(7, 11)]);
+        told.crash(35, third, &[bad_run(9, 12)]);
+        let effects = told.entry.submit(40, 1, job(8, 32, 60), 2_000);
+        let used: Vec<u64> = starts(&effects).iter().map(|(side, _)| *side).collect();
+        assert!(!used.is_empty());
+        assert!(!used.contains(&third), "{third}: {used:?}");
+    }
+}
+
 /// What callers saw: after a restart of all processes jobs of sound kinds were refused. A contained kind got other targets than before,
 /// which it went on to crash, while those that it had crashed were still gone.
 #[test]
