fix(entry): a kind that is contained again keeps what it had crashed

Cause: an entry that contains a kind again began with an empty list of the sides that it had crashed. Its part was another one than that of the entries which had not released the kind: its own jobs ran where the others let the kind crash targets, and its jobs of the kind where the others ran theirs. Evidence: prints at each crash. Why it works: the list outlasts the release, and a part follows from list and rank, so all entries have the same again. The test failed before.

--- a/crates/mastknot_core/src/scheduler/containment.rs
+++ b/crates/mastknot_core/src/scheduler/containment.rs
@@ -68,8 +68,12 @@
         self.released.is_none()
     }
 
+    /// Contains it anew. What it has crashed is still its own: the other entries, which may not have released it, keep that.
     fn contain_again(&mut self, now: Moment) {
-        *self = Self::new(now, self.ran, self.part);
+        *self = Self {
+            crashed: std::mem::take(&mut self.crashed),
+            ..Self::new(now, self.ran, self.part)
+        };
     }
 
     /// Whether enough has run without a crash.
--- a/crates/mastknot_core/tests/crash_evidence.rs
+++ b/crates/mastknot_core/tests/crash_evidence.rs
@@ -10,7 +10,7 @@
     SideReport, TargetCrash, TargetId, TaskKind, TaskRef,
 };
 use mastknot_core::scheduler::{SchedulerEffect, SchedulerEvent};
-use mastknot_core::types::WallTime;
+use mastknot_core::types::{NodeName, WallTime};
 
 const WRITTEN: u64 = 1_700_000_000_000;
 
@@ -236,3 +236,13 @@
     told.crash(now + 10, 3, &[of_kind(ran(10, 0, 12), bad)]);
     assert_eq!(told.entry.scheduler.counters().kinds_contained, 2);
 }
+
+/// An entry that had released a kind and contained it again kept other targets for it than those that it had crashed.
+#[test]
+fn a_kind_that_is_contained_again_has_what_it_had_crashed_before() {
+    let (mut told, bad, now) = released();
+    told.crash(now + 10, 5, &[of_kind(ran(10, 0, 12), bad)]);
+    let suspects = told.entry.scheduler.learned().suspects;
+    let crashed: Vec<&str> = suspects[0].crashed.iter().map(NodeName::as_str).collect();
+    assert_eq!(crashed, ["side-0", "side-1", "side-2", "side-5"]);
+}
