fix(entry): a known suspect does not keep its kind contained

Cause: a job that had crashed a target before comes again, at an entry that has released its kind, and crashes another. For released kinds such a crash is no news; at the entries that still contain the kind it counted, and the sound runs since the last crash began at nought. Why it works: only the first crash under a task counts for its kind, contained or released; which sides were crashed is noted as before. The test failed before.

--- a/crates/mastknot_core/src/scheduler/contained_kinds.rs
+++ b/crates/mastknot_core/src/scheduler/contained_kinds.rs
@@ -34,9 +34,9 @@
         side: &NodeName,
         crash: &TargetCrash,
     ) {
-        let crash = &self.without_known_suspects(crash);
-        let mut contained = self.containment.note_crash(now, side, crash);
-        for crashed in &crash.runs {
+        let news = self.without_known_suspects(now, crash);
+        let mut contained = self.containment.note_crash(now, side, &news);
+        for crashed in &news.runs {
             let kind = crashed.kind;
             let has_others = self.share_of(kind) < LARGEST_SHARE;
             if !has_others || !self.crashes.is_guilty(&crashed.run.task) {
@@ -46,10 +46,8 @@
             if self.containment.contain(now, kind, crashed.ran(), part) {
                 contained.push(kind);
             }
-            for side in self.crashes.crashed_sides(&crashed.run.task) {
-                self.containment.note_side(kind, &side);
-            }
         }
+        self.note_crashed_sides(crash);
         // A kind that is contained already may have crashed one more side.
         self.reassign_parts();
         if contained.is_empty() {
@@ -64,14 +62,27 @@
         self.requeue_all(now);
     }
 
-    /// The crash without the tasks of released kinds that had crashed targets before the release: they say nothing of the
-    /// new tasks of their kind.
-    fn without_known_suspects(&self, crash: &TargetCrash) -> TargetCrash {
+    /// Notes for each kind the sides whose targets its tasks in this crash are known to have crashed.
+    fn note_crashed_sides(&mut self, crash: &TargetCrash) {
+        for crashed in &crash.runs {
+            for side in self.crashes.crashed_sides(&crashed.run.task) {
+                self.containment.note_side(crashed.kind, &side);
+            }
+        }
+    }
+
+    /// The crash without the tasks that had crashed targets before their kind was released, or while it is contained: they
+    /// say nothing of the new tasks of their kind.
+    fn without_known_suspects(&self, now: Moment, crash: &TargetCrash) -> TargetCrash {
+        let crashed = now - Duration::from_millis(u64::from(crash.ago_ms));
         let is_news = |run: &CrashedRun| {
-            let released = self.containment.released(run.kind);
             let first = self.crashes.first_crash(&run.run.task);
-            let both = released.zip(first);
-            both.is_none_or(|(released, first)| first > released)
+            let released = self.containment.released(run.kind);
+            match (released, first) {
+                (Some(released), Some(first)) => first > released,
+                (None, Some(first)) if self.containment.ran(run.kind).is_some() => first >= crashed,
+                _ => true,
+            }
         };
         let mut news = crash.clone();
         news.runs.retain(is_news);
--- a/crates/mastknot_core/tests/crash_evidence.rs
+++ b/crates/mastknot_core/tests/crash_evidence.rs
@@ -246,3 +246,21 @@
     let crashed: Vec<&str> = suspects[0].crashed.iter().map(NodeName::as_str).collect();
     assert_eq!(crashed, ["side-0", "side-1", "side-2", "side-5"]);
 }
+
+/// A kind that was sound again stayed contained at three entries: a known suspect crashed a target at the fourth, which had released it.
+#[test]
+fn a_known_suspect_does_not_keep_its_kind_contained() {
+    let (_, bad) = kinds();
+    let mut told = Told::new();
+    told.crash(10, 0, &[of_kind(ran(7, 0, 12), bad)]);
+    told.crash(30, 1, &[of_kind(ran(7, 0, 11), bad)]);
+    told.crash(50, 2, &[of_kind(ran(6, 0, 12), bad)]);
+    told.entry.join(4_990, 3, 16_000);
+    told.crash(5_000, 3, &[of_kind(ran(6, 0, 12), bad)]);
+    let suspects = told.entry.scheduler.learned().suspects;
+    let crashed = suspects[0].crashed.iter().map(NodeName::as_str);
+    let crashed: Vec<&str> = crashed.collect();
+    assert_eq!(crashed, ["side-0", "side-1", "side-2", "side-3"]);
+    told.entry.join(50 + RELEASED_AFTER_MS, 0, 16_000);
+    assert_eq!(told.entry.scheduler.counters().kinds_released, 1);
+}
