fix(entry): a kind is released when chance does not explain its sound runs

Cause: three times the mean between two crashes goes by without one in 5 of 100 cases, the question is put again after each crash, and of few crashes the mean is not known: after three crashes all runs since the first were enough. Ruled out: that each entry counts its own runs only. Runs since a crash and runs for each crash are both the entry's own, so their ratio holds whatever its share of the work; no count has to travel. Changed: so many runs without a crash are asked that chance explains a release in 0.02 of the containments at most, with the number of crashes so far: runs a crash times ln(crashes / 0.02). No time and no least count is another. Both tests failed before.

--- a/crates/mastknot_core/src/scheduler/containment.rs
+++ b/crates/mastknot_core/src/scheduler/containment.rs
@@ -6,8 +6,8 @@
 
 /// So many runs at least have to do their work without a crash before their kind counts as sound.
 const LEAST_SOUND: u32 = 32;
-/// So many times the runs that were done for each crash have to be done without one: chance hardly explains that.
-const SOUND_FACTOR: u32 = 3;
+/// The share of containments that may end by chance while the kind still crashes targets.
+const RELEASED_BY_CHANCE: f64 = 0.02;
 /// No kind is released sooner after its last crash: others may not have been heard of yet.
 const LEAST_CONTAINED: Duration = Duration::from_secs(1);
 /// After this time without a crash the least number of sound runs is enough.
@@ -79,14 +79,24 @@
     /// Whether enough has run without a crash.
     fn is_sound(&self, now: Moment) -> bool {
         let since = now.since(self.last_crash);
-        let for_each_crash = self.done / self.crashes.max(1);
         let enough = match since >= LONG_CONTAINED {
             true => LEAST_SOUND,
-            false => LEAST_SOUND.max(SOUND_FACTOR * for_each_crash),
+            false => LEAST_SOUND.max(self.runs_that_tell()),
         };
         let has_shown = since >= LEAST_CONTAINED && self.done_since >= enough;
         has_shown || since >= MOST_CONTAINED
     }
+
+    /// How many runs without a crash chance hardly explains while the kind still crashes targets as often as before.
+    ///
+    /// So many times the mean between two crashes go by with the chance `exp(-times)`, and each crash so far has put the
+    /// question once. Runs are this entry's own on both sides, crashes those of all: the ratio holds whatever its share.
+    fn runs_that_tell(&self) -> u32 {
+        let crashes = f64::from(self.crashes.max(1));
+        let for_each_crash = f64::from(self.done) / crashes;
+        let times = (crashes / RELEASED_BY_CHANCE).ln();
+        (for_each_crash * times).ceil() as u32
+    }
 }
 
 /// Which kinds of tasks are kept to a part of the targets.
--- a/crates/mastknot_core/tests/crash_evidence.rs
+++ b/crates/mastknot_core/tests/crash_evidence.rs
@@ -6,8 +6,8 @@
 
 use common::entry::*;
 use mastknot_core::job::{
-    CrashedRun, FailureCause, JobAnswer, JobId, JobRequest, LearnedProfile, LearnedSuspect, RunId,
-    SideReport, TargetCrash, TargetId, TaskKind, TaskRef,
+    CrashedRun, EndOfRun, FailureCause, JobAnswer, JobId, JobRequest, LearnedProfile,
+    LearnedSuspect, RunId, SideReport, TargetCrash, TargetId, TaskKind, TaskRef,
 };
 use mastknot_core::scheduler::{SchedulerEffect, SchedulerEvent};
 use mastknot_core::types::{NodeName, WallTime};
@@ -19,6 +19,7 @@
 };
 const SIDES: u64 = 8;
 const IMAGE: &str = "image";
+const TASKS_A_JOB: u16 = 4;
 
 /// A run of a job's task that was under way at a crash for this time.
 fn ran(job: u64, index: u16, ran_ms: u32) -> CrashedRun {
@@ -60,6 +61,28 @@
         self.entry.reports(ms, side, reports)
     }
 
+    /// Jobs of the contained kind do their work from this time on, one each 100 ms, while all sides are heard.
+    fn do_work(&mut self, ms: u64, jobs: u64) {
+        for ms in (0..jobs).map(|number| ms + 100 * number) {
+            let job = imaged(1_000 + ms, TASKS_A_JOB);
+            let started = self.entry.submit(ms, 1_000 + ms, job, 2_000);
+            let started = starts(&started);
+            assert_eq!(started.len(), usize::from(TASKS_A_JOB), "at {ms}");
+            for side in 0..SIDES {
+                let of_side = started.iter().filter(|(own, _)| *own == side);
+                let done = of_side.map(|(_, run)| ended(*run, EndOfRun::Done));
+                let done = done.collect();
+                let all_seen = u64::MAX;
+                self.entry
+                    .status(ms + 20, side, 16_000, all_seen, None, done);
+            }
+        }
+    }
+
+    fn released(&self) -> u64 {
+        self.entry.scheduler.counters().kinds_released
+    }
+
     /// Whether a job that comes in is failed at once.
     fn is_failed(&mut self, ms: u64, id: u64) -> bool {
         let effects = self.entry.submit(ms, id, job(id, 1, 60), 2_000);
@@ -247,6 +270,40 @@
     assert_eq!(crashed, ["side-0", "side-1", "side-2", "side-5"]);
 }
 
+/// A kind was released in the middle of it: it had shown no more runs without a crash than it does by chance.
+#[test]
+fn a_kind_of_which_few_crashes_are_known_is_not_released_by_chance() {
+    let (_, bad) = kinds();
+    let mut told = Told::new();
+    for (job, ms) in [(7, 10), (7, 30), (8, 50), (9, 70)] {
+        told.crash(ms, job - 7, &[of_kind(ran(job, 0, 12), bad)]);
+    }
+    told.do_work(80, 11);
+    assert_eq!(told.released(), 0, "after 44 runs in a second");
+    told.do_work(1_180, 30);
+    assert_eq!(told.released(), 1, "it is after four seconds");
+}
+
+/// The more crashes there were, the more often the question was put whether it has ceased to crash targets.
+#[test]
+fn a_kind_that_has_crashed_many_targets_is_released_after_many_sound_runs() {
+    let (_, bad) = kinds();
+    let mut told = Told::new();
+    told.crash(10, 0, &[of_kind(ran(7, 0, 12), bad)]);
+    told.crash(30, 1, &[of_kind(ran(7, 0, 12), bad)]);
+    let mut now = 60;
+    for job in 8..16 {
+        told.do_work(now, 1);
+        now += 40;
+        told.crash(now, job % 2, &[of_kind(ran(job, 0, 12), bad)]);
+        now += 40;
+    }
+    told.do_work(now, 11);
+    assert_eq!(told.released(), 0, "after 44 runs of some 8 a crash");
+    told.do_work(now + 1_100, 9);
+    assert_eq!(told.released(), 1, "after 80");
+}
+
 /// A kind that was sound again stayed contained at three entries: a known suspect crashed a target at the fourth, which had released it.
 #[test]
 fn a_known_suspect_does_not_keep_its_kind_contained() {
