fix(entry): a kind is not contained for crashes that another kind explains as well

Cause: two runs of a task that went on alike until their targets crashed are evidence, unless a task of another job has the like. Where each bad task is a new one no task has it, only their kind. So a task of the sound short kind that stood on two targets which two bad narrow tasks crashed was taken for guilty, and its kind contained with 2 or 3 targets, dead ones, until 32 runs had been done there. Changed: two alike runs tell nothing where another kind explains these crashes as well: runs of it, of whatever jobs, went on until each of them for times that differ no more, and alike until no fewer of all crashes that are remembered. Three alike tell as before. Why it works: a kind that crashes targets explains all of its crashes, and at the same point of its work; one beside it only those at which it happens to have begun a run, and at any point. The first test failed before; the others guard against the opposite.

--- a/crates/mastknot_core/src/scheduler/crash_memory.rs
+++ b/crates/mastknot_core/src/scheduler/crash_memory.rs
@@ -2,7 +2,7 @@
 use std::time::Duration;
 
 use super::run_at_crash::RunAtCrash;
-use crate::job::{CrashedRun, TargetCrash, TargetId, TaskRef};
+use crate::job::{CrashedRun, TargetCrash, TargetId, TaskKind, TaskRef};
 use crate::types::{Moment, NodeName};
 
 /// For how long crashes are remembered: a caller without an answer comes again a few times, some seconds apart.
@@ -191,12 +191,12 @@
             if alike.clone().count() >= ALIKE_IF_LATER {
                 return true;
             }
-            let soon = alike.filter(|other| other.is_soon());
+            let soon: Vec<&RunAtCrash> = alike.copied().filter(|other| other.is_soon()).collect();
+            let is_contested = |other: &&RunAtCrash| self.is_contested(task, other.crash);
             run.is_soon()
-                && soon.clone().count() >= ALIKE_IF_SOON
-                && !soon
-                    .clone()
-                    .any(|other| self.is_contested(task, other.crash))
+                && soon.len() >= ALIKE_IF_SOON
+                && !soon.iter().any(is_contested)
+                && !self.has_rival_kind(run.kind, &soon)
         };
         begun.iter().filter(is_told).copied().collect()
     }
@@ -204,9 +204,7 @@
     /// Whether tasks of another job may as well have brought about a crash: they ran for about the same time until
     /// another target crashed.
     fn is_contested(&self, task: &TaskRef, crash: u64) -> bool {
-        let place = self.known.partition_point(|known| known.number < crash);
-        let known = self.known.get(place).filter(|known| known.number == crash);
-        let tasks = known.into_iter().flat_map(|known| &known.tasks);
+        let tasks = self.crash(crash).into_iter().flat_map(|known| &known.tasks);
         let mut others = tasks.filter(|other| other.job != task.job);
         others.any(|other| self.has_pattern(other, crash))
     }
@@ -227,6 +225,52 @@
         own.is_soon() && soon.any(|run| run.is_alike(own))
     }
 
+    /// Whether another kind explains these crashes under runs of one kind as well: runs of it, each perhaps of a new job, went
+    /// on until each of them for times that differ no more, and until no fewer of all crashes.
+    fn has_rival_kind(&self, kind: TaskKind, runs: &[&RunAtCrash]) -> bool {
+        let Some(first) = runs.first() else {
+            return false;
+        };
+        let explained = self.explained_by(first).len();
+        let widest = runs.iter().map(|run| run.ran.abs_diff(first.ran)).max();
+        let beside = self.soon_runs(first.crash);
+        let mut rivals = beside.filter(|run| run.kind != kind);
+        rivals.any(|rival| {
+            let nearest = runs.iter().map(|run| self.nearest(rival, run.crash));
+            let is_close = nearest
+                .into_iter()
+                .all(|off| off.is_some() && off <= widest);
+            is_close && self.explained_by(rival).len() >= explained
+        })
+    }
+
+    /// By how much the time of a run of a run's kind differs from its own at a crash, at the least.
+    fn nearest(&self, run: &RunAtCrash, crash: u64) -> Option<Duration> {
+        let soon = self.soon_runs(crash);
+        let of_kind = soon.filter(|other| other.kind == run.kind);
+        of_kind.map(|other| other.ran.abs_diff(run.ran)).min()
+    }
+
+    /// The crashes that came when runs of a run's kind had gone on for about as long as it had at its own.
+    fn explained_by(&self, run: &RunAtCrash) -> Vec<u64> {
+        let is_like = |other: &RunAtCrash| other.kind == run.kind && other.is_alike(run);
+        let numbers = self.known.iter().map(|known| known.number);
+        let explained = numbers.filter(|number| self.soon_runs(*number).any(is_like));
+        explained.collect()
+    }
+
+    /// The runs that had begun just before a crash.
+    fn soon_runs(&self, crash: u64) -> impl Iterator<Item = &RunAtCrash> {
+        let tasks = self.crash(crash).into_iter().flat_map(|known| &known.tasks);
+        let runs = tasks.filter_map(|task| self.runs.get(task)).flatten();
+        runs.filter(move |run| run.crash == crash && run.is_soon())
+    }
+
+    fn crash(&self, number: u64) -> Option<&KnownCrash> {
+        let place = self.known.partition_point(|known| known.number < number);
+        self.known.get(place).filter(|known| known.number == number)
+    }
+
     fn forget_oldest(&mut self) {
         let Some(oldest) = self.known.pop_front() else {
             return;
--- a/crates/mastknot_core/src/scheduler/run_at_crash.rs
+++ b/crates/mastknot_core/src/scheduler/run_at_crash.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use crate::job::{CrashedRun, TargetCrash, ran_alike};
+use crate::job::{CrashedRun, TargetCrash, TaskKind, ran_alike};
 use crate::types::Moment;
 
 /// A target that crashes so soon after a start may well have been crashed by it: runs of innocent tasks are seldom
@@ -12,6 +12,8 @@
 pub(crate) struct RunAtCrash {
     /// The number of the crash.
     pub(crate) crash: u64,
+    /// The kind of its task.
+    pub(crate) kind: TaskKind,
     /// When that was.
     pub(crate) crashed: Moment,
     /// How long it had run, as far as its side knows.
@@ -29,6 +31,7 @@
     pub(crate) fn new(number: u64, at: Moment, crash: &TargetCrash, crashed: &CrashedRun) -> Self {
         Self {
             crash: number,
+            kind: crashed.kind,
             crashed: at,
             ran: crashed.ran(),
             has_begun: crashed.has_begun,
--- a/crates/mastknot_core/tests/crash_evidence.rs
+++ b/crates/mastknot_core/tests/crash_evidence.rs
@@ -155,6 +155,53 @@
     request
 }
 
+/// A sound task that stood on two targets which tasks of another kind crashed, each a new one, was failed and its kind contained.
+#[test]
+fn a_task_is_not_taken_for_what_the_tasks_of_another_kind_have_done() {
+    let (sound, bad) = kinds();
+    let sound_run = |job, ran_ms| of_kind(ran(job, 0, ran_ms), sound);
+    let bad_run = |job| of_kind(ran(job, 0, 10), bad);
+    let mut told = Told::new();
+    told.crash(10, 0, &[bad_run(7), sound_run(1, 18)]);
+    told.crash(21, 1, &[bad_run(8), sound_run(1, 9)]);
+    assert_eq!(told.entry.scheduler.counters().kinds_contained, 0);
+    assert!(!told.is_failed(22, 1));
+    told.crash(50, 2, &[bad_run(9), sound_run(2, 40)]);
+    told.crash(70, 3, &[bad_run(9), sound_run(2, 15)]);
+    let contained = told.entry.scheduler.learned().suspects;
+    let contained: Vec<TaskKind> = contained.iter().map(|suspect| suspect.kind).collect();
+    assert_eq!(contained, [bad]);
+    assert!(told.is_failed(80, 9));
+    assert!(!told.is_failed(81, 1));
+}
+
+/// Bystanders of another kind do not hide a task that crashes targets where its own kind explains more crashes.
+#[test]
+fn a_kind_that_explains_fewer_crashes_is_no_rival() {
+    let (sound, bad) = kinds();
+    let sound_run = |job, ran_ms| of_kind(ran(job, 0, ran_ms), sound);
+    let bad_run = |job| of_kind(ran(job, 0, 10), bad);
+    let mut told = Told::new();
+    told.crash(10, 0, &[bad_run(6), sound_run(1, 60)]);
+    told.crash(30, 1, &[bad_run(7), sound_run(2, 8)]);
+    told.crash(50, 2, &[bad_run(7), sound_run(3, 12)]);
+    assert_eq!(told.entry.scheduler.counters().kinds_contained, 1);
+    assert!(told.is_failed(60, 7));
+}
+
+/// Nor do they where their times differ more than those of the task.
+#[test]
+fn a_kind_whose_times_differ_more_is_no_rival() {
+    let (sound, bad) = kinds();
+    let sound_run = |job, ran_ms| of_kind(ran(job, 0, ran_ms), sound);
+    let bad_run = |job| of_kind(ran(job, 0, 10), bad);
+    let mut told = Told::new();
+    told.crash(10, 0, &[bad_run(7), sound_run(1, 7)]);
+    told.crash(30, 1, &[bad_run(7), sound_run(2, 16)]);
+    assert_eq!(told.entry.scheduler.counters().kinds_contained, 1);
+    assert!(told.is_failed(40, 7));
+}
+
 /// What a kind has crashed is its own: the other kinds lose no further target to it.
 #[test]
 fn the_targets_that_a_kind_has_crashed_are_the_first_of_its_part() {
