--- a/crates/mastknot_virtual/tests/contained_kinds.rs
+++ b/crates/mastknot_virtual/tests/contained_kinds.rs
@@ -259,6 +259,48 @@
     }
 }
 
+/// The shares of the sound jobs of the other queues while a queue crashes targets and after it.
+fn shares_beside(seed: u64, bad: usize) -> Vec<f64> {
+    let mut play = play(seed, SMALL, END_MS, &[bad], BAD_SPAN);
+    play.system.run_until(millis(END_MS + 4_000));
+    assert_eq!(play.system.violations(), [], "seed {seed}");
+    let others: Vec<usize> = (0..QUEUES.len()).filter(|queue| *queue != bad).collect();
+    play.shares(&others, BAD_SPAN.from_ms, END_MS)
+}
+
+/// One entry released a kind in the middle of it, and let it crash targets that others kept for sound jobs.
+#[test]
+fn others_are_served_while_a_kind_crashes_targets_on_and_on() {
+    let narrow = [
+        4, 314, 330, 336, 338, 357, 399, 440, 443, 454, 482, 504, 505, 551,
+    ];
+    let short = [141, 223, 240, 539, 555, 568, 593];
+    let narrow = narrow.map(|seed| (seed, 2));
+    let short = short.map(|seed| (seed, 0));
+    for (seed, bad) in narrow.into_iter().chain(short) {
+        let others = shares_beside(seed, bad);
+        assert!(worst(&others) >= WELL_SERVED, "seed {seed}: {others:.3?}");
+    }
+}
+
+/// A sound kind was taken for the one that crashed targets: next to nothing of it was served for seconds.
+#[test]
+fn a_sound_kind_is_not_contained_beside_one_that_crashes_targets() {
+    for seed in [34, 185, 229, 249] {
+        let others = shares_beside(seed, 2);
+        assert!(worst(&others) >= WELL_SERVED, "seed {seed}: {others:.3?}");
+    }
+}
+
+/// After the restart the kind had another part than before, while targets that it had crashed were still gone.
+#[test]
+fn others_are_served_after_a_restart_beside_a_kind_with_half_of_the_targets() {
+    for seed in [8, 34, 50, 52, 75, 87, 145, 148, 185, 189, 198] {
+        let others = shares_after_a_restart_of_all(seed, 2);
+        assert!(worst(&others) >= WELL_SERVED, "seed {seed}: {others:.3?}");
+    }
+}
+
 /// Crashes that no task brings about contain nobody.
 #[test]
 fn random_crashes_contain_no_kind() {
