--- a/crates/mastknot_core/src/scheduler/containment.rs
+++ b/crates/mastknot_core/src/scheduler/containment.rs
@@ -89,8 +89,9 @@
 
     /// How many runs without a crash chance hardly explains while the kind still crashes targets as often as before.
     ///
-    /// So many times the mean between two crashes go by with the chance `exp(-times)`, and each crash so far has put the
-    /// question once. Runs are this entry's own on both sides, crashes those of all: the ratio holds whatever its share.
+    /// That `times` the mean number of runs between two crashes go by without one has the chance `exp(-times)`, and the
+    /// question is put after each crash. Runs are this entry's own, crashes those of all entries: a mean in own runs is
+    /// held against own runs, whatever this entry's share of the work.
     fn runs_that_tell(&self) -> u32 {
         let crashes = f64::from(self.crashes.max(1));
         let for_each_crash = f64::from(self.done) / crashes;
