--- a/crates/mastknot_core/src/scheduler/crash_memory.rs
+++ b/crates/mastknot_core/src/scheduler/crash_memory.rs
@@ -225,8 +225,8 @@
         own.is_soon() && soon.any(|run| run.is_alike(own))
     }
 
-    /// Whether another kind explains these crashes under runs of one kind as well: runs of it, each perhaps of a new job, went
-    /// on until each of them for times that differ no more, and until no fewer of all crashes.
+    /// Whether another kind explains the crashes under these runs of one kind as well: its own runs, of whatever jobs, went on
+    /// until each of them for times that differ no more, and it explains no fewer of all crashes that are remembered.
     fn has_rival_kind(&self, kind: TaskKind, runs: &[&RunAtCrash]) -> bool {
         let Some(first) = runs.first() else {
             return false;
@@ -236,22 +236,20 @@
         let beside = self.soon_runs(first.crash);
         let mut rivals = beside.filter(|run| run.kind != kind);
         rivals.any(|rival| {
-            let nearest = runs.iter().map(|run| self.nearest(rival, run.crash));
-            let is_close = nearest
-                .into_iter()
-                .all(|off| off.is_some() && off <= widest);
+            let mut nearest = runs.iter().map(|run| self.nearest(rival, run.crash));
+            let is_close = nearest.all(|off| off.is_some() && off <= widest);
             is_close && self.explained_by(rival).len() >= explained
         })
     }
 
-    /// By how much the time of a run of a run's kind differs from its own at a crash, at the least.
+    /// By how much the runs of a run's kind at a crash differ from it in time, at the least; none if there are none.
     fn nearest(&self, run: &RunAtCrash, crash: u64) -> Option<Duration> {
         let soon = self.soon_runs(crash);
         let of_kind = soon.filter(|other| other.kind == run.kind);
         of_kind.map(|other| other.ran.abs_diff(run.ran)).min()
     }
 
-    /// The crashes that came when runs of a run's kind had gone on for about as long as it had at its own.
+    /// The numbers of the crashes at which runs of a run's kind had gone on for about as long as it had.
     fn explained_by(&self, run: &RunAtCrash) -> Vec<u64> {
         let is_like = |other: &RunAtCrash| other.kind == run.kind && other.is_alike(run);
         let numbers = self.known.iter().map(|known| known.number);
