fix(entry): a job is claimed at two sides, and kept as long as one grant is unbroken

What callers saw: a task ran at two workers at once where the caller's connection had broken unseen and, before the copy came, the side that was asked about the job was killed, or a cut stood between that side and either the entry that ran the job or all others.

Cause: a claim was a lease at one side alone. A cut between that side and its holder ended it 600 ms later while the holder's runs at other sides went on; a cut between it and the others, or its death, sent them to the next side by rank, which knew of nothing.

Change: a job is asked for at the first two sides by rank, at once, and starts when both have granted it. From then on its entry has it as long as one grant is unbroken; a missing one is asked for at the next side, and a 'held' from one does not take the job away while another grants it. An entry that waits at a side gives back what it was granted at sides behind it: nobody holds a side while it waits for one that ranks before it, so no two entries wait for each other. A claim that is not granted yet is renewed in its time only, so no answer to an earlier request can be taken for that to a later one.

Why it works: two entries' pairs share a side unless each is cut off from a different one.

The tests of the core's claiming spoke of one side's messages. Each keeps what it promises, for both sides: nothing starts after one grant in either order, both are renewed, released and given up. 'Starts nothing more until claimed again' is played with both grants lost and, new, with one lost; the wait at the first and at the second side, and that entries that are each cut off from one side ask one in common with the others, are new.

--- a/crates/mastknot_core/src/scheduler/active_job.rs
+++ b/crates/mastknot_core/src/scheduler/active_job.rs
@@ -144,7 +144,7 @@
     /// Whether tasks of it wait for room.
     pub(crate) fn has_waiting(&self) -> bool {
         let mut tasks = self.tasks.iter();
-        let is_startable = !self.is_over && self.claim.is_granted();
+        let is_startable = !self.is_over && self.claim.is_granted;
         is_startable && tasks.any(|task| task.state == TaskState::Waiting)
     }
 
--- a/crates/mastknot_core/src/scheduler/awaited_links.rs
+++ b/crates/mastknot_core/src/scheduler/awaited_links.rs
@@ -1,9 +1,7 @@
 //! Links that have gone and are expected back: the sides are asked about their jobs by others meanwhile.
 
-use super::claim_state::ClaimPhase;
 use super::job_scheduler::JobScheduler;
 use super::side_view::SideView;
-use crate::job::JobId;
 use crate::types::{Moment, NodeName};
 
 impl JobScheduler {
@@ -56,12 +54,6 @@
             return;
         }
         self.plan_wait_for_links(now);
-        let waiting = self.jobs.iter();
-        let waiting = waiting.filter(|(_, job)| job.claim.phase == ClaimPhase::Unasked);
-        let mut waiting: Vec<JobId> = waiting.map(|(id, _)| *id).collect();
-        waiting.sort_unstable();
-        for id in waiting {
-            self.claim(now, id);
-        }
+        self.claim_all(now);
     }
 }
--- /dev/null
+++ b/crates/mastknot_core/src/scheduler/claim_upkeep.rs
@@ -0,0 +1,167 @@
+//! Claims that stand: renewals, links that go and come, releases.
+
+use super::claim_state::ClaimPhase;
+use super::job_scheduler::JobScheduler;
+use super::{SchedulerEffect, SessionId};
+use crate::job::{EntryOrder, JobId};
+use crate::types::{Moment, NodeName};
+
+impl JobScheduler {
+    /// A job has more time: its claim lasts for that. One that is not granted yet is renewed in its time.
+    pub(super) fn extend_claim(&mut self, now: Moment, id: JobId) {
+        if !self.jobs.get(&id).is_some_and(|job| job.claim.is_granted) {
+            return;
+        }
+        for (side, session) in self.claim_sessions(id) {
+            self.send_claim(now, id, &side, session);
+        }
+        self.plan_claim(id);
+    }
+
+    /// The sides that were asked about a job, and the links to them.
+    fn claim_sessions(&self, id: JobId) -> Vec<(NodeName, SessionId)> {
+        let Some(job) = self.jobs.get(&id) else {
+            return Vec::new();
+        };
+        let asked = job.claim.asked.iter().map(|asked| &asked.name);
+        let sessions =
+            asked.filter_map(|name| Some((name.clone(), self.sides.get(name)?.session?)));
+        sessions.collect()
+    }
+
+    /// Renews the claims of jobs that have outlasted them, and gives up links on which a claim got no answer.
+    pub(super) fn look_after_claims(&mut self, now: Moment) {
+        self.end_wait_for_links(now);
+        while let Some((due, id)) = self.claims_due.first().copied() {
+            if due > now {
+                return;
+            }
+            self.claims_due.pop_first();
+            self.look_after_claim(now, id);
+        }
+    }
+
+    fn look_after_claim(&mut self, now: Moment, id: JobId) {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        job.claim.due = None;
+        job.claim.not_before.take_if(|until| *until <= now);
+        let due = job.claim.asked.iter().filter(|asked| asked.due <= now);
+        let due = due.map(|asked| (asked.name.clone(), asked.phase));
+        let due: Vec<(NodeName, ClaimPhase)> = due.collect();
+        for (side, phase) in due {
+            let session = self.sides.get(&side).and_then(|side| side.session);
+            match (phase, session) {
+                (ClaimPhase::Asked, Some(session)) => self.claim_unanswered(now, session),
+                (_, Some(session)) => self.send_claim(now, id, &side, session),
+                (_, None) => self.forget_claim_at(now, id, &side),
+            }
+        }
+        self.claim(now, id);
+        self.plan_claim(id);
+    }
+
+    /// A link on standby may have gone silent without a word: it is given up as one in use would be.
+    fn claim_unanswered(&mut self, now: Moment, session: SessionId) {
+        self.counters.claims_unanswered += 1;
+        self.counters.links_silent += 1;
+        self.effects.push(SchedulerEffect::Close { session });
+        self.drop_link(now, session, true);
+    }
+
+    /// The link to a side is gone: what was claimed there is claimed at the next.
+    pub(super) fn move_claims(&mut self, now: Moment, side: &NodeName) {
+        let again = now + self.settings.terms.run_over_after;
+        for id in self.jobs_asked_at(side) {
+            let job = self.jobs.get_mut(&id);
+            let Some(claim) = job.map(|job| &mut job.claim) else {
+                continue;
+            };
+            let is_elsewhere = !claim.is_granted && claim.phase_at(side) == Some(ClaimPhase::Held);
+            if is_elsewhere {
+                // Whoever has the job claims it at the next side now.
+                claim.not_before = Some(again);
+            }
+            self.forget_claim_at(now, id, side);
+            self.claim(now, id);
+            self.plan_claim(id);
+        }
+    }
+
+    fn jobs_asked_at(&self, side: &NodeName) -> Vec<JobId> {
+        let jobs = self.jobs.iter();
+        let asked = jobs.filter(|(_, job)| job.claim.phase_at(side).is_some());
+        let mut asked: Vec<JobId> = asked.map(|(id, _)| *id).collect();
+        asked.sort_unstable();
+        asked
+    }
+
+    /// What a side has said holds no more. Without any grant nothing more of a job starts; what runs goes on.
+    fn forget_claim_at(&mut self, now: Moment, id: JobId, side: &NodeName) {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        job.claim.forget(side);
+        if job.claim.is_granted && !job.claim.has_grant() {
+            job.claim.is_granted = false;
+            self.queue_job(now, id);
+        }
+    }
+
+    /// A side is linked: it is asked about the jobs of whose first sides it is one from now on.
+    pub(super) fn claim_at(&mut self, now: Moment, name: &NodeName) {
+        self.await_other_links(now);
+        for id in self.jobs_asked_at(name) {
+            self.forget_claim_at(now, id, name);
+        }
+        self.claim_all(now);
+    }
+
+    /// Asks about each job the sides that are to be asked and were not.
+    pub(super) fn claim_all(&mut self, now: Moment) {
+        let mut jobs: Vec<JobId> = self.jobs.keys().copied().collect();
+        jobs.sort_unstable();
+        for id in jobs {
+            self.claim(now, id);
+        }
+    }
+
+    /// Nothing of a job runs any more: others may claim it.
+    pub(super) fn release_claim(&mut self, id: JobId) {
+        for (_, session) in self.claim_sessions(id) {
+            self.send(session, EntryOrder::ReleaseClaim(id));
+        }
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        job.claim.asked.clear();
+        if let Some(due) = job.claim.due.take() {
+            self.claims_due.remove(&(due, id));
+        }
+    }
+
+    /// Notes when a claim is to be looked after next.
+    pub(super) fn plan_claim(&mut self, id: JobId) {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        let due = job.claim.next_due();
+        let before = std::mem::replace(&mut job.claim.due, due);
+        if before == due {
+            return;
+        }
+        if let Some(before) = before {
+            self.claims_due.remove(&(before, id));
+        }
+        if let Some(due) = due {
+            self.claims_due.insert((due, id));
+        }
+    }
+
+    /// When a claim is to be renewed, or its answer is missed.
+    pub(super) fn claims_due(&self) -> Option<Moment> {
+        let due = self.claims_due.first().map(|(due, _)| *due);
+        due.into_iter().chain(self.links_awaited).min()
+    }
+}
--- a/crates/mastknot_core/src/scheduler/claiming.rs
+++ b/crates/mastknot_core/src/scheduler/claiming.rs
@@ -1,60 +1,109 @@
-//! Each job is claimed at one side before its first start, so that of two entries that were handed it only one runs it.
+//! Each job is claimed at two sides before its first start, so that of two entries that were handed it only one runs it.
 //!
 //! A caller without an answer hands its job in again elsewhere, while its first request may still be on its way, or be
 //! worked on by an entry that does not know that its caller has gone.
+//!
+//! Both sides are asked at once. An entry that waits at one of them holds nothing that ranks behind it, so no two entries
+//! wait for each other.
 
 use std::sync::Arc;
 
-use super::claim_state::ClaimPhase;
+use super::claim_state::{AskedSide, ClaimPhase};
 use super::job_scheduler::JobScheduler;
 use super::side_view::SideView;
-use super::{SchedulerDecision, SchedulerEffect, SessionId};
+use super::{SchedulerDecision, SessionId};
 use crate::job::{ClaimAnswer, EntryOrder, JobAnswer, JobClaim, JobId};
 use crate::types::{Moment, NodeName, mixed};
 
-/// Which sides are asked about a job: the lowest rank of those that are linked, the same at all entries.
-fn claim_rank(job: JobId, side: &SideView) -> u64 {
-    mixed(job.0 ^ mixed(u64::from(side.name_hash)))
+/// Which sides are asked about a job: the lowest ranks of those that are linked, the same at all entries.
+type ClaimRank<'a> = (u64, &'a NodeName);
+
+fn claim_rank<'a>(job: JobId, name: &'a NodeName, side: &SideView) -> ClaimRank<'a> {
+    (mixed(job.0 ^ mixed(u64::from(side.name_hash))), name)
+}
+
+/// A side that is to be asked about a job.
+struct SideToAsk {
+    name: NodeName,
+    /// None as long as its link is waited for.
+    session: Option<SessionId>,
 }
 
 impl JobScheduler {
-    /// Claims a new job, or again one whose side is gone or was not the right one.
+    /// Asks the sides that are to be asked about a job and were not.
     pub(super) fn claim(&mut self, now: Moment, id: JobId) {
-        if !self.settings.claims_jobs {
+        let job = self.jobs.get(&id);
+        let may_ask = job.is_some_and(|job| job.claim.not_before.is_none());
+        if !self.settings.claims_jobs || !may_ask {
             return;
         }
-        let side = self.claim_side(now, id);
-        let Some(job) = self.jobs.get_mut(&id) else {
-            return;
-        };
-        let phase = match &side {
-            _ if job.claim.is_granted() => ClaimPhase::Granted,
-            Some(_) => ClaimPhase::Asked,
-            // The next link asks.
-            None => ClaimPhase::Unasked,
-        };
-        job.claim.phase = phase;
-        job.claim.side = side.as_ref().map(|(name, _)| name.clone());
-        if let Some((_, session)) = side {
-            self.send_claim(now, id, session);
+        let sides = self.sides_to_ask(now, id);
+        let mut is_granted = !sides.is_empty();
+        for side in sides {
+            let Some(job) = self.jobs.get(&id) else {
+                return;
+            };
+            let phase = job.claim.phase_at(&side.name);
+            is_granted &= phase == Some(ClaimPhase::Granted);
+            if phase == Some(ClaimPhase::Held) && !job.claim.is_granted {
+                break;
+            }
+            if let (None, Some(session)) = (phase, side.session) {
+                self.ask(now, id, side.name, session);
+            }
+        }
+        if is_granted {
+            self.claim_granted(now, id);
         }
+        self.plan_claim(id);
+    }
+
+    /// The first two sides by rank; the second one outlives a fault of the first, or of the link to it.
+    fn sides_to_ask(&self, now: Moment, id: JobId) -> Vec<SideToAsk> {
+        let first = self.side_to_ask(now, id, None);
+        let second = first
+            .as_ref()
+            .and_then(|first| self.side_to_ask(now, id, Some(&first.name)));
+        first.into_iter().chain(second).collect()
     }
 
-    /// The side that is asked about a job; none as long as it is to be waited for.
-    fn claim_side(&self, now: Moment, id: JobId) -> Option<(NodeName, SessionId)> {
+    /// The first side by rank but one.
+    fn side_to_ask(&self, now: Moment, id: JobId, but: Option<&NodeName>) -> Option<SideToAsk> {
         let was_granted = self.jobs.get(&id).is_some_and(|job| job.claim.was_granted);
         let is_awaited = |side: &SideView| {
             side.awaited_until > now || (!was_granted && side.awaited_by_new_until > now)
         };
         let sides = self.sides.iter();
         let sides = sides.filter(|(_, side)| side.is_resumed || is_awaited(side));
-        let (name, side) = sides.min_by_key(|(name, side)| (claim_rank(id, side), *name))?;
-        let session = side.session.filter(|_| side.is_resumed);
-        session.map(|session| (name.clone(), session))
+        let others = sides.filter(|(name, _)| Some(*name) != but);
+        let (name, side) = others.min_by_key(|(name, side)| claim_rank(id, name, side))?;
+        Some(SideToAsk {
+            name: name.clone(),
+            session: side.session.filter(|_| side.is_resumed),
+        })
+    }
+
+    fn ask(&mut self, now: Moment, id: JobId, name: NodeName, session: SessionId) {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        job.claim.asked.push(AskedSide {
+            name: name.clone(),
+            phase: ClaimPhase::Asked,
+            due: now,
+            renewal: now,
+        });
+        self.send_claim(now, id, &name, session);
     }
 
     /// Asks for as long as the job may take and its runs may last after the end of their leases.
-    fn send_claim(&mut self, now: Moment, id: JobId, session: SessionId) {
+    pub(super) fn send_claim(
+        &mut self,
+        now: Moment,
+        id: JobId,
+        side: &NodeName,
+        session: SessionId,
+    ) {
         let lasts = self.settings.terms.run_over_after;
         let missed = now + self.settings.terms.silence;
         let Some(job) = self.jobs.get_mut(&id) else {
@@ -62,14 +111,13 @@
         };
         let renewed = now.max(job.deadline) + lasts;
         let term = renewed.since(now) + lasts;
-        let due = match job.claim.phase {
-            ClaimPhase::Asked => missed.min(renewed),
-            _ => renewed,
-        };
-        if let Some(before) = job.claim.due.replace(due) {
-            self.claims_due.remove(&(before, id));
+        if let Some(asked) = job.claim.at_mut(side) {
+            asked.renewal = renewed;
+            asked.due = match asked.phase {
+                ClaimPhase::Asked => missed.min(renewed),
+                ClaimPhase::Held | ClaimPhase::Granted => renewed,
+            };
         }
-        self.claims_due.insert((due, id));
         self.expect_word(session, missed);
         let claim = JobClaim {
             job: id,
@@ -95,58 +143,95 @@
         id: JobId,
         answer: ClaimAnswer,
     ) {
-        let Some(job) = self.jobs.get_mut(&id) else {
-            self.return_claim(side, id, &answer);
-            return;
-        };
-        if !job.claim.is_at(side) {
-            self.return_claim(side, id, &answer);
-            return;
-        }
+        let job = self.jobs.get(&id);
+        let phase = job.and_then(|job| job.claim.phase_at(side));
         match answer {
-            ClaimAnswer::Granted if job.claim.is_granted() => {}
-            ClaimAnswer::Granted => self.claim_granted(now, id),
-            ClaimAnswer::Held { by } => self.claim_held(now, side, id, by),
+            // It was released meanwhile.
+            _ if phase.is_none() => {}
+            ClaimAnswer::Granted => self.granted_at(now, side, id),
+            ClaimAnswer::Held { by } => self.held_at(now, side, id, by),
         }
     }
 
-    /// A claim was granted that is not needed any more.
-    fn return_claim(&mut self, side: &NodeName, id: JobId, answer: &ClaimAnswer) {
+    /// A grant is not wanted before that of another side.
+    fn give_back(&mut self, side: &NodeName, id: JobId) {
+        if let Some(job) = self.jobs.get_mut(&id) {
+            job.claim.forget(side);
+        }
         let session = self.sides.get(side).and_then(|side| side.session);
-        if let Some(session) = session
-            && *answer == ClaimAnswer::Granted
-        {
+        if let Some(session) = session {
             self.send(session, EntryOrder::ReleaseClaim(id));
         }
     }
 
+    fn granted_at(&mut self, now: Moment, side: &NodeName, id: JobId) {
+        match self.waits_before(id, side) {
+            true => self.give_back(side, id),
+            false => self.note_answer_of(side, id, ClaimPhase::Granted),
+        }
+        self.claim(now, id);
+    }
+
+    /// Whether the entry waits for another one at a side that ranks before this one.
+    fn waits_before(&self, id: JobId, side: &NodeName) -> bool {
+        let Some(job) = self.jobs.get(&id).filter(|job| !job.claim.is_granted) else {
+            return false;
+        };
+        let asked = job.claim.asked.iter();
+        let mut held = asked.filter(|asked| asked.phase == ClaimPhase::Held);
+        held.any(|held| self.ranks_before(id, &held.name, side))
+    }
+
+    fn ranks_before(&self, id: JobId, one: &NodeName, other: &NodeName) -> bool {
+        let rank = |name| {
+            let side = self.sides.get(name);
+            side.map(|side| claim_rank(id, name, side))
+        };
+        rank(one) < rank(other)
+    }
+
+    /// An answer has come: the claim is to be renewed only if the job outlasts its time.
+    fn note_answer_of(&mut self, side: &NodeName, id: JobId, phase: ClaimPhase) {
+        let job = self.jobs.get_mut(&id);
+        if let Some(asked) = job.and_then(|job| job.claim.at_mut(side)) {
+            asked.phase = phase;
+            asked.due = asked.renewal;
+        }
+    }
+
+    /// All sides that were to be asked have granted a job.
     fn claim_granted(&mut self, now: Moment, id: JobId) {
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
         };
-        job.claim.phase = ClaimPhase::Granted;
+        if std::mem::replace(&mut job.claim.is_granted, true) {
+            return;
+        }
         let is_first = !std::mem::replace(&mut job.claim.was_granted, true);
-        self.plan_renewal(now, id);
         if is_first {
             self.begin_patience(now, id);
         }
         self.queue_job(now, id);
     }
 
-    /// Another entry has the job. If it got it while this one was out of touch, this one gives it up: the copy is newer.
-    fn claim_held(&mut self, now: Moment, side: &NodeName, id: JobId, holder: NodeName) {
+    /// Another entry has the job at a side. If it got it while this one was out of touch with all that had granted it, this
+    /// one gives it up: the copy is newer.
+    fn held_at(&mut self, now: Moment, side: &NodeName, id: JobId, holder: NodeName) {
+        self.note_answer_of(side, id, ClaimPhase::Held);
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
         };
+        if job.claim.is_granted {
+            self.plan_claim(id);
+            return;
+        }
         let has_begun = job.may_have_begun();
-        job.claim.phase = ClaimPhase::Elsewhere;
-        job.claim.was_elsewhere = true;
+        let is_news = !std::mem::replace(&mut job.claim.was_elsewhere, true);
         let request_id = Arc::clone(&job.request.request_id);
         match has_begun {
             true => self.counters.claims_conflicting += 1,
-            false => self.counters.claims_awaited += 1,
+            false => self.counters.claims_awaited += u64::from(is_news),
         }
-        self.plan_renewal(now, id);
         self.decided(SchedulerDecision::ClaimHeld {
             job: id,
             request_id,
@@ -154,166 +239,36 @@
             holder,
             has_begun,
         });
-        self.queue_job(now, id);
-        if has_begun {
-            self.answer(now, id, JobAnswer::TimedOut);
-        }
-    }
-
-    /// A job looks for room from now on.
-    fn begin_patience(&mut self, now: Moment, id: JobId) {
-        let Some(job) = self.jobs.get_mut(&id) else {
-            return;
-        };
-        if !self.patience.remove(&(job.patience_ends, id)) {
-            return;
+        match has_begun {
+            true => self.answer(now, id, JobAnswer::TimedOut),
+            false => self.give_back_behind(side, id),
         }
-        job.patience_ends = job.patience_ends + now.since(job.arrived);
-        self.patience.insert((job.patience_ends, id));
+        self.plan_claim(id);
     }
 
-    /// An answer has come: the claim is to be renewed only if the job outlasts its time.
-    fn plan_renewal(&mut self, now: Moment, id: JobId) {
-        let lasts = self.settings.terms.run_over_after;
-        let Some(job) = self.jobs.get_mut(&id) else {
+    /// An entry that waits at a side holds nothing that ranks behind it.
+    fn give_back_behind(&mut self, side: &NodeName, id: JobId) {
+        let Some(job) = self.jobs.get(&id) else {
             return;
         };
-        let due = now.max(job.deadline) + lasts;
-        if let Some(before) = job.claim.due.replace(due) {
-            self.claims_due.remove(&(before, id));
-        }
-        self.claims_due.insert((due, id));
-    }
-
-    /// A job has more time: its claim lasts for that.
-    pub(super) fn extend_claim(&mut self, now: Moment, id: JobId) {
-        let session = self.claim_session(id);
-        if let Some(session) = session {
-            self.send_claim(now, id, session);
+        let asked = job.claim.asked.iter();
+        let granted = asked.filter(|asked| asked.phase == ClaimPhase::Granted);
+        let behind = granted.filter(|granted| self.ranks_before(id, side, &granted.name));
+        let behind: Vec<NodeName> = behind.map(|granted| granted.name.clone()).collect();
+        for granted in behind {
+            self.give_back(&granted, id);
         }
     }
 
-    fn claim_session(&self, id: JobId) -> Option<SessionId> {
-        let side = self.jobs.get(&id)?.claim.side.as_ref()?;
-        self.sides.get(side)?.session
-    }
-
-    /// Renews the claims of jobs that have outlasted them, and gives up links on which a claim got no answer.
-    pub(super) fn look_after_claims(&mut self, now: Moment) {
-        self.end_wait_for_links(now);
-        while let Some((due, id)) = self.claims_due.first().copied() {
-            if due > now {
-                return;
-            }
-            self.claims_due.pop_first();
-            let Some(job) = self.jobs.get_mut(&id) else {
-                continue;
-            };
-            job.claim.due = None;
-            let is_missed = job.claim.phase == ClaimPhase::Asked;
-            match self.claim_session(id) {
-                Some(session) if is_missed => self.claim_unanswered(now, session),
-                Some(session) => self.send_claim(now, id, session),
-                None => self.claim(now, id),
-            }
-        }
-    }
-
-    /// A link on standby may have gone silent without a word: it is given up as one in use would be.
-    fn claim_unanswered(&mut self, now: Moment, session: SessionId) {
-        self.counters.claims_unanswered += 1;
-        self.counters.links_silent += 1;
-        self.effects.push(SchedulerEffect::Close { session });
-        self.drop_link(now, session, true);
-    }
-
-    /// The link to a side is gone: what was claimed there is claimed at the next.
-    pub(super) fn move_claims(&mut self, now: Moment, side: &NodeName) {
-        let claimed = self.jobs.iter().filter(|(_, job)| job.claim.is_at(side));
-        let mut claimed: Vec<JobId> = claimed.map(|(id, _)| *id).collect();
-        claimed.sort_unstable();
-        for id in claimed {
-            let job = self.jobs.get(&id);
-            if job.is_some_and(|job| job.claim.phase == ClaimPhase::Elsewhere) {
-                self.ask_later(now, id);
-            } else {
-                self.lose_claim(now, id);
-                self.claim(now, id);
-            }
-        }
-    }
-
-    /// Nothing more of a job starts until it is claimed again; what runs goes on.
-    fn lose_claim(&mut self, now: Moment, id: JobId) {
-        if let Some(job) = self.jobs.get_mut(&id) {
-            job.claim.phase = ClaimPhase::Unasked;
-        }
-        self.queue_job(now, id);
-    }
-
-    /// Whoever has a job claims it elsewhere now: an entry that waited for it asks again when that is done.
-    fn ask_later(&mut self, now: Moment, id: JobId) {
-        let due = now + self.settings.terms.run_over_after;
+    /// A job looks for room from now on.
+    fn begin_patience(&mut self, now: Moment, id: JobId) {
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
         };
-        job.claim.side = None;
-        if let Some(before) = job.claim.due.replace(due) {
-            self.claims_due.remove(&(before, id));
-        }
-        self.claims_due.insert((due, id));
-    }
-
-    /// A side is linked: it is asked about the jobs whose first side it is from now on.
-    pub(super) fn claim_at(&mut self, now: Moment, name: &NodeName) {
-        self.await_other_links(now);
-        let Some(side) = self.sides.get(name) else {
-            return;
-        };
-        let goes_first = |id: JobId, known: &NodeName| {
-            let known_rank = self.sides.get(known).map(|known| claim_rank(id, known));
-            known_rank.is_none_or(|rank| (claim_rank(id, side), name) < (rank, known))
-        };
-        let moved = self.jobs.iter().filter(|(id, job)| {
-            let is_moved = |known: &NodeName| known == name || goes_first(**id, known);
-            match &job.claim.side {
-                Some(known) => is_moved(known),
-                None => job.claim.phase == ClaimPhase::Unasked,
-            }
-        });
-        let mut moved: Vec<JobId> = moved.map(|(id, _)| *id).collect();
-        moved.sort_unstable();
-        for id in moved {
-            self.release_unused_claim(id);
-            self.claim(now, id);
-        }
-    }
-
-    /// A job that has not begun under its claim waits there no more.
-    fn release_unused_claim(&mut self, id: JobId) {
-        let job = self.jobs.get(&id);
-        if job.is_some_and(|job| !job.claim.is_granted()) {
-            self.release_claim(id);
-        }
-    }
-
-    /// Nothing of a job runs any more: others may claim it.
-    pub(super) fn release_claim(&mut self, id: JobId) {
-        let session = self.claim_session(id);
-        let Some(job) = self.jobs.get_mut(&id) else {
+        if !self.patience.remove(&(job.patience_ends, id)) {
             return;
-        };
-        if let Some(due) = job.claim.due.take() {
-            self.claims_due.remove(&(due, id));
         }
-        if let Some(session) = session {
-            self.send(session, EntryOrder::ReleaseClaim(id));
-        }
-    }
-
-    /// When a claim is to be renewed, or its answer is missed.
-    pub(super) fn claims_due(&self) -> Option<Moment> {
-        let due = self.claims_due.first().map(|(due, _)| *due);
-        due.into_iter().chain(self.links_awaited).min()
+        job.patience_ends = job.patience_ends + now.since(job.arrived);
+        self.patience.insert((job.patience_ends, id));
     }
 }
--- a/crates/mastknot_core/src/scheduler/mod.rs
+++ b/crates/mastknot_core/src/scheduler/mod.rs
@@ -9,6 +9,7 @@
 mod arrival_rates;
 mod awaited_links;
 mod claim_state;
+mod claim_upkeep;
 mod claiming;
 mod class_paces;
 mod contained_kinds;
--- a/crates/mastknot_core/tests/claiming.rs
+++ b/crates/mastknot_core/tests/claiming.rs
@@ -78,24 +78,34 @@
     answer(entry, ms, side, ClaimAnswer::Held { by })
 }
 
-/// Hands in a job of one task; returns the side that is asked about it.
-fn submit(entry: &mut Entry, ms: u64, left: u64) -> u64 {
+/// Hands in a job of one task; returns the sides that are asked about it, in the order of their ranks.
+fn submit(entry: &mut Entry, ms: u64, left: u64) -> [u64; 2] {
     let effects = entry.submit(ms, 1, job(1, 1, 900), left);
     assert_eq!(starts(&effects), []);
-    let [(side, 1)] = claims(&effects)[..] else {
-        panic!("one claim: {effects:?}");
+    two_claims(&effects)
+}
+
+fn two_claims(effects: &[SchedulerEffect]) -> [u64; 2] {
+    let [(first, 1), (second, 1)] = claims(effects)[..] else {
+        panic!("two claims: {effects:?}");
     };
-    side
+    assert_ne!(first, second);
+    [first, second]
+}
+
+/// Both sides grant a job; returns what starts, all of it after the second grant.
+fn grant_both(entry: &mut Entry, ms: u64, sides: [u64; 2]) -> Vec<(u64, RunId)> {
+    assert_eq!(starts(&grant(entry, ms, sides[0])), []);
+    starts(&grant(entry, ms, sides[1]))
 }
 
-/// Hands in a job of one task whose claim is granted; returns the side of the claim, and the run with its side.
-fn begin(entry: &mut Entry, ms: u64, left: u64) -> (u64, u64, RunId) {
-    let holder = submit(entry, ms, left);
-    let effects = grant(entry, ms + 2, holder);
-    let [(side, run)] = starts(&effects)[..] else {
-        panic!("one start: {effects:?}");
+/// Hands in a job of one task whose claim is granted; returns the sides of the claim, and the run with its side.
+fn begin(entry: &mut Entry, ms: u64, left: u64) -> ([u64; 2], u64, RunId) {
+    let holders = submit(entry, ms, left);
+    let [(side, run)] = grant_both(entry, ms + 2, holders)[..] else {
+        panic!("one start");
     };
-    (holder, side, run)
+    (holders, side, run)
 }
 
 /// All sides but some report on; returns what the entry does meanwhile, and when.
@@ -146,15 +156,21 @@
 
 #[test]
 fn nothing_starts_before_its_job_is_claimed() {
-    let mut entry = entry();
-    let side = submit(&mut entry, 10, 2_000);
-    let waited = go_on(&mut entry, 20, 50, None);
-    assert!(waited.iter().all(|(_, effects)| starts(effects).is_empty()));
-    assert_eq!(starts(&grant(&mut entry, 52, side)).len(), 1);
+    for first_to_grant in [0, 1] {
+        let mut entry = entry();
+        let sides = submit(&mut entry, 10, 2_000);
+        let waited = go_on(&mut entry, 20, 50, None);
+        assert!(waited.iter().all(|(_, effects)| starts(effects).is_empty()));
+        let (one, other) = (sides[first_to_grant], sides[1 - first_to_grant]);
+        assert_eq!(starts(&grant(&mut entry, 52, one)), []);
+        let waited = go_on(&mut entry, 60, 90, None);
+        assert!(waited.iter().all(|(_, effects)| starts(effects).is_empty()));
+        assert_eq!(starts(&grant(&mut entry, 92, other)).len(), 1);
+    }
 }
 
 #[test]
-fn all_entries_ask_the_same_side_about_a_job_and_all_sides_are_asked() {
+fn all_entries_ask_the_same_sides_about_a_job_and_all_sides_are_asked() {
     let mut first = entry_named("entry-1", 4);
     let mut second = entry_named("entry-2", 4);
     let mut asked: BTreeMap<u64, u64> = BTreeMap::new();
@@ -162,42 +178,62 @@
         let by_first = claims(&first.submit(10, id, job(id, 1, 100), 2_000));
         let by_second = claims(&second.submit(10, id, job(id, 1, 100), 2_000));
         assert_eq!(by_first, by_second, "job {id}");
+        assert_eq!(by_first.len(), 2, "job {id}");
+        assert_ne!(by_first[0].0, by_first[1].0, "job {id}");
         *asked.entry(by_first[0].0).or_default() += 1;
     }
     assert_eq!(asked.len(), 4);
     assert!(asked.values().all(|jobs| *jobs >= 30), "{asked:?}");
 }
 
+#[test]
+fn entries_that_are_cut_off_from_one_side_each_ask_a_side_that_the_others_ask() {
+    let mut whole = entry_named("entry-1", 4);
+    for id in 1..=50 {
+        let asked = claims(&whole.submit(10, id, job(id, 1, 100), 2_000));
+        for lost in 0..4 {
+            let mut cut_off = entry_named("entry-2", 4);
+            cut_off.link_down(10, lost);
+            go_on(&mut cut_off, 20, 200, Some(lost));
+            let others = claims(&cut_off.submit(200, id, job(id, 1, 100), 2_000));
+            assert_eq!(others.len(), 2, "job {id}, side {lost}");
+            assert!(others.iter().any(|other| asked.contains(other)), "job {id}");
+        }
+    }
+}
+
 #[test]
 fn a_job_whose_side_goes_before_it_answers_is_claimed_at_the_next() {
     let mut entry = entry();
-    let first = submit(&mut entry, 10, 2_000);
+    let [first, second] = submit(&mut entry, 10, 2_000);
     let effects = entry.link_down(20, first);
     assert_eq!(claims(&effects), [], "the side may link again at once");
     let (next, asked) = next_claim(&mut entry, 20, first);
-    assert_ne!(next, first);
-    assert_eq!(starts(&grant(&mut entry, asked + 2, next)).len(), 1);
+    assert!(![first, second].contains(&next));
+    assert_eq!(grant_both(&mut entry, asked + 2, [second, next]).len(), 1);
 }
 
 #[test]
 fn a_side_that_was_not_asked_last_grants_nothing() {
     let mut entry = entry();
-    let side = submit(&mut entry, 10, 2_000);
-    let other = (side + 1) % SIDES;
+    let sides = submit(&mut entry, 10, 2_000);
+    let other = (0..SIDES).find(|side| !sides.contains(side));
+    let other = other.expect("three sides");
+    assert_eq!(starts(&grant(&mut entry, 12, sides[0])), []);
     assert_eq!(starts(&grant(&mut entry, 12, other)), []);
 }
 
 #[test]
 fn a_job_that_has_begun_goes_on_when_the_side_of_its_claim_goes() {
     let mut entry = entry();
-    let (holder, runs_at, run) = begin(&mut entry, 10, 2_000);
-    let effects = entry.link_down(20, holder);
+    let (holders, runs_at, run) = begin(&mut entry, 10, 2_000);
+    let effects = entry.link_down(20, holders[0]);
     assert_eq!(stops(&effects), []);
     let [(next, 1)] = claims(&effects)[..] else {
         panic!("claimed at the next: {effects:?}");
     };
-    assert_ne!(next, holder);
-    if runs_at != holder {
+    assert!(!holders.contains(&next));
+    if runs_at != holders[0] {
         let done = vec![ended(run, EndOfRun::Done)];
         let effects = entry.status(30, runs_at, 16_000, 1, None, done);
         assert_eq!(answers(&effects), [(1, JobAnswer::Completed)]);
@@ -208,7 +244,8 @@
 fn a_claim_without_an_answer_gives_up_its_link_after_the_usual_silence() {
     let mut entry = entry();
     let effects = entry.submit(10, 1, job(1, 1, 3_000), 9_000);
-    let (first, _) = claims(&effects)[0];
+    let [first, second] = two_claims(&effects);
+    grant(&mut entry, 12, second);
     let done = go_on(&mut entry, 20, 500, None);
     let is_close = |effect: &SchedulerEffect| matches!(effect, SchedulerEffect::Close { .. });
     let closed = done
@@ -219,91 +256,142 @@
     let asked = times_of(&done, claims);
     assert_eq!(asked.len(), 1, "{asked:?}");
     assert_eq!(asked[0].0, 440, "after the time of a heartbeat");
-    assert_ne!(asked[0].1, first);
+    assert!(![first, second].contains(&asked[0].1));
     assert_eq!(entry.scheduler.counters().claims_unanswered, 1);
 }
 
 #[test]
 fn a_job_that_another_entry_has_is_not_called_not_run() {
-    let mut entry = entry();
-    let side = submit(&mut entry, 10, 1_000);
-    hold(&mut entry, 12, side);
-    let done = go_on(&mut entry, 20, 1_500, None);
-    let given = done.iter().flat_map(|(_, effects)| answers(effects));
-    let given: Vec<(u64, JobAnswer)> = given.collect();
-    assert_eq!(given, [(1, JobAnswer::TimedOut)]);
-    assert_eq!(entry.scheduler.counters().claims_awaited, 1);
+    for place in [0, 1] {
+        let mut entry = entry();
+        let sides = submit(&mut entry, 10, 1_000);
+        hold(&mut entry, 12, sides[place]);
+        grant(&mut entry, 12, sides[1 - place]);
+        let done = go_on(&mut entry, 20, 1_500, None);
+        let given = done.iter().flat_map(|(_, effects)| answers(effects));
+        let given: Vec<(u64, JobAnswer)> = given.collect();
+        assert_eq!(given, [(1, JobAnswer::TimedOut)]);
+        assert_eq!(entry.scheduler.counters().claims_awaited, 1);
+    }
 }
 
 #[test]
 fn a_job_that_another_entry_had_starts_when_it_is_granted() {
     let mut entry = entry();
-    let side = submit(&mut entry, 10, 2_000);
-    assert_eq!(starts(&hold(&mut entry, 12, side)), []);
+    let sides = submit(&mut entry, 10, 2_000);
+    for side in sides {
+        assert_eq!(starts(&hold(&mut entry, 12, side)), []);
+    }
     let done = go_on(&mut entry, 20, 900, None);
     assert!(done.iter().all(|(_, effects)| starts(effects).is_empty()));
-    assert_eq!(starts(&grant(&mut entry, 902, side)).len(), 1);
+    assert_eq!(grant_both(&mut entry, 902, sides).len(), 1);
+    assert_eq!(entry.scheduler.counters().claims_awaited, 1);
+}
+
+/// Else two entries that each hold one of the sides would wait for each other.
+#[test]
+fn an_entry_that_waits_at_the_first_side_gives_the_second_back() {
+    for is_granted_first in [true, false] {
+        let mut entry = entry();
+        let [first, second] = submit(&mut entry, 10, 2_000);
+        let effects = match is_granted_first {
+            true => {
+                grant(&mut entry, 12, second);
+                hold(&mut entry, 13, first)
+            }
+            false => {
+                hold(&mut entry, 12, first);
+                grant(&mut entry, 13, second)
+            }
+        };
+        assert_eq!(releases(&effects), [(second, 1)]);
+        let done = go_on(&mut entry, 20, 900, None);
+        assert_eq!(times_of(&done, claims), []);
+        let effects = grant(&mut entry, 902, first);
+        assert_eq!(claims(&effects), [(second, 1)]);
+        assert_eq!(starts(&effects), []);
+        assert_eq!(starts(&grant(&mut entry, 904, second)).len(), 1);
+    }
+}
+
+#[test]
+fn an_entry_that_waits_at_the_second_side_keeps_the_first() {
+    let mut entry = entry();
+    let [first, second] = submit(&mut entry, 10, 2_000);
+    assert_eq!(releases(&grant(&mut entry, 12, first)), []);
+    assert_eq!(releases(&hold(&mut entry, 13, second)), []);
+    let done = go_on(&mut entry, 20, 900, None);
+    assert_eq!(times_of(&done, releases), []);
+    assert_eq!(starts(&grant(&mut entry, 900, second)).len(), 1);
 }
 
 #[test]
 fn a_claim_is_released_when_the_last_run_is_over_and_not_before() {
     let mut entry = entry();
-    let (holder, side, run) = begin(&mut entry, 10, 2_000);
+    let (holders, side, run) = begin(&mut entry, 10, 2_000);
     let effects = abandon(&mut entry, 20);
     assert_eq!(stops(&effects), [run]);
     assert_eq!(releases(&effects), []);
     let over = vec![ended(run, EndOfRun::Stopped)];
     let effects = entry.status(70, side, 16_000, 1, None, over);
-    assert_eq!(releases(&effects), [(holder, 1)]);
+    assert_eq!(releases(&effects), holders.map(|holder| (holder, 1)));
     assert_eq!(entry.scheduler.held_jobs(), 0);
 }
 
 #[test]
 fn a_claim_is_released_with_the_answer() {
     let mut entry = entry();
-    let (holder, side, run) = begin(&mut entry, 10, 2_000);
+    let (holders, side, run) = begin(&mut entry, 10, 2_000);
     let done = vec![ended(run, EndOfRun::Done)];
     let effects = entry.status(70, side, 16_000, 1, None, done);
     assert_eq!(answers(&effects), [(1, JobAnswer::Completed)]);
-    assert_eq!(releases(&effects), [(holder, 1)]);
+    assert_eq!(releases(&effects), holders.map(|holder| (holder, 1)));
 }
 
 #[test]
 fn a_claim_is_renewed_while_a_stopped_run_is_not_known_to_be_over() {
     let mut entry = entry();
-    let (holder, side, run) = begin(&mut entry, 10, 1_000);
+    let (holders, side, run) = begin(&mut entry, 10, 1_000);
     let done = go_on(&mut entry, 20, 3_000, None);
     assert_eq!(times_of(&done, releases), []);
-    let renewed = times_of(&done, claims);
-    let to_holder = renewed.iter().filter(|(_, side)| *side == holder);
-    // It was asked for until 600 ms after the deadline, and once more that long.
-    assert!(to_holder.count() >= 2, "{renewed:?}");
-    let first = renewed.first().map(|(ms, _)| *ms);
-    assert!(first.is_some_and(|ms| ms <= 1_010 + 1_200), "{renewed:?}");
-    let gaps = renewed.windows(2).map(|pair| pair[1].0 - pair[0].0);
-    assert!(gaps.max() <= Some(1_200), "{renewed:?}");
+    for holder in holders {
+        let renewed = times_of(&done, claims).into_iter();
+        let renewed: Vec<u64> = renewed
+            .filter(|(_, side)| *side == holder)
+            .map(|(ms, _)| ms)
+            .collect();
+        // It was asked for until 600 ms after the deadline, and once more that long.
+        assert!(renewed.len() >= 2, "{renewed:?}");
+        let first = renewed.first();
+        assert!(first.is_some_and(|ms| *ms <= 1_010 + 1_200), "{renewed:?}");
+        let gaps = renewed.windows(2).map(|pair| pair[1] - pair[0]);
+        assert!(gaps.max() <= Some(1_200), "{renewed:?}");
+    }
     let over = vec![ended(run, EndOfRun::Stopped)];
     let effects = entry.status(3_010, side, 16_000, 1, None, over);
-    assert_eq!(releases(&effects), [(holder, 1)]);
+    assert_eq!(releases(&effects), holders.map(|holder| (holder, 1)));
 }
 
 #[test]
 fn a_caller_that_leaves_while_its_job_waits_gives_up_its_place() {
     let mut entry = entry();
-    let side = submit(&mut entry, 10, 2_000);
-    hold(&mut entry, 12, side);
-    assert_eq!(releases(&abandon(&mut entry, 20)), [(side, 1)]);
+    let sides = submit(&mut entry, 10, 2_000);
+    for side in sides {
+        hold(&mut entry, 12, side);
+    }
+    let released = sides.map(|side| (side, 1));
+    assert_eq!(releases(&abandon(&mut entry, 20)), released);
     assert_eq!(entry.scheduler.held_jobs(), 0);
-    let effects = grant(&mut entry, 30, side);
-    assert_eq!(starts(&effects), []);
+    assert_eq!(grant_both(&mut entry, 30, sides), []);
 }
 
 #[test]
 fn a_caller_that_leaves_before_the_answer_gives_up_its_claim() {
     let mut entry = entry();
-    let side = submit(&mut entry, 10, 2_000);
-    assert_eq!(releases(&abandon(&mut entry, 11)), [(side, 1)]);
-    assert_eq!(starts(&grant(&mut entry, 12, side)), []);
+    let sides = submit(&mut entry, 10, 2_000);
+    let released = sides.map(|side| (side, 1));
+    assert_eq!(releases(&abandon(&mut entry, 11)), released);
+    assert_eq!(grant_both(&mut entry, 12, sides), []);
 }
 
 #[test]
@@ -315,77 +403,111 @@
     assert_eq!(starts(&grant(&mut entry, 24, 0)).len(), 1);
 }
 
-/// An entry all of whose links have gone at 1,000 ms, and the side that others ask about the job.
-fn woken() -> (Entry, u64) {
+/// An entry all of whose links have gone at 1,000 ms, and the sides that others ask about the job.
+fn woken() -> (Entry, [u64; 2]) {
     let mut entry = entry();
-    let first = submit(&mut entry.clone(), 10, 2_000);
+    let asked = submit(&mut entry.clone(), 10, 2_000);
     go_on(&mut entry, 20, 1_000, None);
     for side in 0..SIDES {
         entry.link_down(1_000, side);
     }
-    (entry, first)
+    (entry, asked)
 }
 
 #[test]
 fn a_woken_entry_does_not_claim_at_whichever_side_links_first() {
-    let (mut entry, first) = woken();
+    let (mut entry, asked) = woken();
     let effects = entry.submit(1_001, 1, job(1, 1, 900), 2_000);
     assert_eq!(claims(&effects), []);
-    for other in (0..SIDES).filter(|side| *side != first) {
+    for other in (0..SIDES).filter(|side| !asked.contains(side)) {
         entry.join(1_020, other, 16_000);
         assert_eq!(starts(&grant(&mut entry, 1_022, other)), []);
     }
-    entry.join(1_040, first, 16_000);
-    assert_eq!(starts(&grant(&mut entry, 1_042, first)).len(), 1);
+    entry.join(1_040, asked[1], 16_000);
+    assert_eq!(starts(&grant(&mut entry, 1_042, asked[1])), []);
+    entry.join(1_050, asked[0], 16_000);
+    assert_eq!(starts(&grant(&mut entry, 1_052, asked[0])).len(), 1);
 }
 
 #[test]
 fn a_side_that_does_not_come_back_is_waited_for_no_longer_than_runs_last() {
-    let (mut entry, first) = woken();
+    let (mut entry, [first, second]) = woken();
     // It would be refused after a quarter of its objective, 815 ms.
     entry.submit(1_001, 1, job(1, 1, 2_000), 9_000);
     let others: Vec<u64> = (0..SIDES).filter(|side| *side != first).collect();
     others
         .iter()
         .for_each(|other| entry.join(1_020, *other, 16_000));
+    assert_eq!(starts(&grant(&mut entry, 1_022, second)), []);
     let done = go_on(&mut entry, 1_030, 1_700, Some(first));
     let [(1_620, next)] = times_of(&done, claims)[..] else {
         let asked = times_of(&done, claims);
         panic!("claimed at the next 600 ms after the first link: {asked:?}");
     };
     assert!(others.contains(&next));
+    assert_ne!(next, second);
+}
+
+/// A job of 40 tasks that has begun, and the sides that have granted it.
+fn half_begun(entry: &mut Entry) -> [u64; 2] {
+    let effects = entry.submit(10, 1, job(1, 80, 900), 2_000);
+    let holders = two_claims(&effects);
+    let begun = grant_both(entry, 12, holders).len();
+    assert!((1..80).contains(&begun), "{begun} of 80 find room");
+    holders
 }
 
 #[test]
 fn a_job_whose_claim_was_lost_starts_nothing_more_until_it_is_claimed_again() {
-    let mut entry = entry();
-    let effects = entry.submit(10, 1, job(1, 40, 900), 2_000);
-    let [(holder, 1)] = claims(&effects)[..] else {
-        panic!("one claim: {effects:?}");
+    let mut entry = entry_named("entry-1", 5);
+    let holders = half_begun(&mut entry);
+    let effects = entry.link_down(20, holders[0]);
+    let [(third, 1)] = claims(&effects)[..] else {
+        panic!("claimed at the next at once: {effects:?}");
     };
-    let begun = starts(&grant(&mut entry, 12, holder)).len();
-    assert!((1..40).contains(&begun), "{begun} of 40 find room");
-    let effects = entry.link_down(20, holder);
-    let [(next, 1)] = claims(&effects)[..] else {
+    let effects = entry.link_down(20, holders[1]);
+    let [(fourth, 1)] = claims(&effects)[..] else {
         panic!("claimed at the next at once: {effects:?}");
     };
     assert_eq!(starts(&effects), []);
-    let done = go_on(&mut entry, 30, 110, Some(holder));
-    assert!(done.iter().all(|(_, effects)| starts(effects).is_empty()));
-    assert!(!starts(&grant(&mut entry, 112, next)).is_empty());
+    for ms in (30..110).step_by(10) {
+        let effects = entry.status(ms, third, 16_000, 1, None, Vec::new());
+        assert_eq!(starts(&effects), [], "at {ms} ms");
+    }
+    assert_eq!(starts(&grant(&mut entry, 112, third)), []);
+    assert!(!starts(&grant(&mut entry, 112, fourth)).is_empty());
 }
 
 #[test]
-fn a_job_that_was_lost_to_another_entry_is_given_up_and_not_called_not_run() {
-    let mut entry = entry();
-    let (holder, runs_at, run) = begin(&mut entry, 10, 2_000);
-    let effects = entry.link_down(20, holder);
-    let [(next, 1)] = claims(&effects)[..] else {
+fn a_job_goes_on_under_the_grant_that_is_left() {
+    let mut entry = entry_named("entry-1", 5);
+    let holders = half_begun(&mut entry);
+    let effects = entry.link_down(20, holders[0]);
+    let [(third, 1)] = claims(&effects)[..] else {
         panic!("claimed at the next at once: {effects:?}");
     };
-    let effects = hold(&mut entry, 22, next);
+    let effects = hold(&mut entry, 22, third);
+    assert_eq!(answers(&effects), [], "the second side still grants it");
+    assert_eq!(releases(&effects), []);
+    let effects = entry.status(30, third, 16_000, 1, None, Vec::new());
+    assert!(!starts(&effects).is_empty());
+    assert_eq!(entry.scheduler.counters().claims_conflicting, 0);
+}
+
+#[test]
+fn a_job_that_was_lost_to_another_entry_is_given_up_and_not_called_not_run() {
+    let mut entry = entry_named("entry-1", 5);
+    let (holders, runs_at, run) = begin(&mut entry, 10, 2_000);
+    let next = holders.map(|holder| {
+        let effects = entry.link_down(20, holder);
+        let [(next, 1)] = claims(&effects)[..] else {
+            panic!("claimed at the next at once: {effects:?}");
+        };
+        next
+    });
+    let effects = hold(&mut entry, 22, next[0]);
     assert_eq!(answers(&effects), [(1, JobAnswer::TimedOut)]);
-    if runs_at != holder {
+    if !holders.contains(&runs_at) {
         assert_eq!(stops(&effects), [run]);
     }
     assert_eq!(entry.scheduler.counters().claims_conflicting, 1);
