fix(side): a side that has just started grants jobs first to the entries that had them

What callers saw: after all sides were killed and started at once a task ran at two workers: an entry ran a job whose caller it had lost unseen, and its copy, which had waited at another entry or came just then, began beside it.

Cause: claims live in the sides' memory. A side that starts anew has forgotten them, and whichever entry asked first had the job, although the runs of the other went on under the targets' holds and were taken over.

Change: a claim says whether its entry has had the job since it was granted. A side that has just started grants only those until the entries that it dials at once have read which runs go on there (what they claim again they claim before they say so), or until the time after which a silent link is given up (350 ms, the lease terms' own) has passed since its target is known. It says so then, and entries ask it about new jobs from then on; until then the sides behind it are asked.

Why it works: an entry that lived through the start has claimed its jobs before any other may ask, or its link is silent. A single side that starts anew costs nobody a wait, as others are asked; where all do, new jobs wait for two exchanges.

The other tests of the core name the new field of the answer to a welcome; what they check is the same.

--- a/crates/mastknot_core/src/agent/agent_decision.rs
+++ b/crates/mastknot_core/src/agent/agent_decision.rs
@@ -81,6 +81,11 @@
         /// The entry that has it.
         holder: NodeName,
     },
+    /// The entries have had time to claim again what this side had granted them before it started.
+    ClaimsTaken {
+        /// Claims of other jobs that came before.
+        early_claims: usize,
+    },
     /// An entry's link stands and its runs are settled.
     EntryJoined {
         /// The entry.
--- a/crates/mastknot_core/src/agent/claiming.rs
+++ b/crates/mastknot_core/src/agent/claiming.rs
@@ -16,6 +16,10 @@
         claim: &JobClaim,
     ) {
         let job = claim.job;
+        if !claim.is_reclaim && !self.grace.is_over() && !self.claims.knows(job) {
+            self.grace.keep(session, key, claim);
+            return;
+        }
         let answer = self.claims.ask(now, key, claim);
         if let ClaimAnswer::Held { by } = &answer {
             self.decided(AgentDecision::ClaimWaits {
@@ -28,6 +32,7 @@
     }
 
     pub(super) fn release_claim(&mut self, now: Moment, key: &OwnerKey, job: JobId) {
+        self.grace.release(key, job);
         if let Some(granted) = self.claims.release(now, key, job) {
             self.tell_granted(now, granted);
         }
--- a/crates/mastknot_core/src/agent/entry_links.rs
+++ b/crates/mastknot_core/src/agent/entry_links.rs
@@ -74,7 +74,7 @@
         let Some(owner) = self.owners.get_mut(key) else {
             return;
         };
-        owner.is_resumed = true;
+        owner.note_resumed();
         let mut ended = std::mem::take(&mut owner.ended);
         ended.extend(orphaned);
         let Some(session) = owner.session else {
@@ -83,7 +83,13 @@
         for crash in self.crashes.recent(now) {
             self.send(session, SideReport::TargetCrashed(crash));
         }
-        self.send(session, SideReport::Resume { running, ended });
+        let takes_claims = self.grace.is_over();
+        let resume = SideReport::Resume {
+            running,
+            ended,
+            takes_claims,
+        };
+        self.send(session, resume);
         let entry = key.entry.clone();
         self.decided(AgentDecision::EntryJoined { entry });
     }
--- a/crates/mastknot_core/src/agent/job_claims.rs
+++ b/crates/mastknot_core/src/agent/job_claims.rs
@@ -102,6 +102,11 @@
         awaited.map(|claim| claim.until).min()
     }
 
+    /// Whether an entry has claimed a job.
+    pub(super) fn knows(&self, job: JobId) -> bool {
+        self.claims.contains_key(&job)
+    }
+
     /// How many jobs are claimed.
     pub(super) fn len(&self) -> usize {
         self.claims.len()
--- a/crates/mastknot_core/src/agent/mod.rs
+++ b/crates/mastknot_core/src/agent/mod.rs
@@ -11,6 +11,7 @@
 mod agent_event;
 mod agent_settings;
 mod answer_times;
+mod claim_grace;
 mod claiming;
 mod confirm_times;
 mod contact_loss;
--- a/crates/mastknot_core/src/agent/owners.rs
+++ b/crates/mastknot_core/src/agent/owners.rs
@@ -52,6 +52,9 @@
     pub(crate) duty: Duty,
     /// Whether the runs of an earlier link have been settled on this one.
     pub(crate) is_resumed: bool,
+    /// The first report after the runs were settled, and whether the entry is known to have received it.
+    first_after_resume: u64,
+    has_read_resume: bool,
     /// When the newest report was sent that the entry is known to have received.
     pub(crate) lease_from: Moment,
     pub(crate) starts: u64,
@@ -91,6 +94,8 @@
             shares_room: false,
             duty: Duty::Active,
             is_resumed: false,
+            first_after_resume: 0,
+            has_read_resume: false,
             lease_from,
             starts: 0,
             need: None,
@@ -129,6 +134,7 @@
         {
             self.duty = Duty::Active;
         }
+        self.has_read_resume |= self.is_resumed && heard >= self.first_after_resume;
         let mut newest = None;
         while let Some(oldest) = self.sent.front().copied() {
             if oldest.number > heard {
@@ -141,6 +147,17 @@
         newest
     }
 
+    /// The runs of an earlier link are settled: the entry is told which go on.
+    pub(crate) fn note_resumed(&mut self) {
+        self.is_resumed = true;
+        self.first_after_resume = self.next_number;
+    }
+
+    /// Whether the entry is known to have read which runs go on.
+    pub(crate) fn has_read_resume(&self) -> bool {
+        self.has_read_resume
+    }
+
     /// Whether room is kept for it of which it has not been told.
     pub(crate) fn is_granted_anew(&self) -> bool {
         self.offer.is_some_and(|offer| offer.number == 0)
@@ -197,6 +214,7 @@
         self.told_drained = 0;
         self.told_version = 0;
         self.is_resumed = false;
+        self.has_read_resume = false;
         self.starts = 0;
         self.told = Told::default();
         self.need = None;
--- a/crates/mastknot_core/src/agent/target_agent.rs
+++ b/crates/mastknot_core/src/agent/target_agent.rs
@@ -4,6 +4,7 @@
 use indexmap::IndexMap;
 
 use super::answer_times::AnswerTimes;
+use super::claim_grace::ClaimGrace;
 use super::confirm_times::ConfirmTimes;
 use super::crash_log::CrashLog;
 use super::directory_news::DirectoryNews;
@@ -86,6 +87,8 @@
     pub(super) sessions: IndexMap<SessionId, OwnerKey>,
     /// Which entry may start each of the jobs about which this side is asked.
     pub(super) claims: JobClaims,
+    /// Whether others than those that had a job before this start may have it.
+    pub(super) grace: ClaimGrace,
     pub(super) greetings: IndexMap<SessionId, Greeting>,
     pub(super) look: Option<LookInFlight>,
     pub(super) next_look: u64,
@@ -138,6 +141,7 @@
             ended_leases: IndexMap::new(),
             sessions: IndexMap::new(),
             claims: JobClaims::default(),
+            grace: ClaimGrace::default(),
             greetings: IndexMap::new(),
             look: None,
             next_look: 1,
@@ -168,6 +172,7 @@
         self.end_claims(now);
         self.handle(now, event);
         self.settle_target(now, started);
+        self.end_grace(now);
         self.retry_stops(now);
         self.forget_ended_leases();
         self.stop_survivors(now);
@@ -403,6 +408,7 @@
             self.grants_due(),
             self.relay_due(),
             self.claims.due(),
+            self.grace_due(),
         ];
         let all = leases.chain(reports).chain(stops);
         all.chain(wakes.into_iter().flatten()).min()
--- a/crates/mastknot_core/src/job/job_claim.rs
+++ b/crates/mastknot_core/src/job/job_claim.rs
@@ -15,6 +15,8 @@
     pub job: JobId,
     /// For how long, in milliseconds, unless it is released before.
     pub term_ms: u32,
+    /// Whether the entry has had the job since it was granted: a side that has started since then grants it first.
+    pub is_reclaim: bool,
 }
 
 impl JobClaim {
--- a/crates/mastknot_core/src/job/side_report.rs
+++ b/crates/mastknot_core/src/job/side_report.rs
@@ -111,7 +111,11 @@
         running: Vec<RunId>,
         /// Runs that have ended and may not have been reported.
         ended: Vec<EndedRun>,
+        /// Whether the side grants claims of new jobs. If not it says so once it does.
+        takes_claims: bool,
     },
+    /// From now on the side grants claims of new jobs: entries have claimed again what they had before it started.
+    TakesClaims,
     /// How the target stands.
     Status(SideStatus),
     /// A life of the target has ended by a crash. All entries are told, whose runs there were or not.
--- a/crates/mastknot_core/src/scheduler/claim_state.rs
+++ b/crates/mastknot_core/src/scheduler/claim_state.rs
@@ -31,6 +31,8 @@
     pub(crate) is_granted: bool,
     /// Whether it was granted before.
     pub(crate) was_granted: bool,
+    /// Whether another entry has got the job since it was granted here.
+    pub(crate) is_lost: bool,
     /// Whether another entry has had the job since it was handed in here: it may have run there.
     pub(crate) was_elsewhere: bool,
     /// No side is asked before: whoever has the job claims it elsewhere until then.
@@ -48,6 +50,11 @@
         }
     }
 
+    /// Whether a side that has forgotten all claims is to grant it to this entry before others.
+    pub(crate) fn is_reclaim(&self) -> bool {
+        self.was_granted && !self.is_lost
+    }
+
     /// What this side has said; none if it was not asked.
     pub(crate) fn phase_at(&self, side: &NodeName) -> Option<ClaimPhase> {
         let asked = self.asked.iter().find(|asked| asked.name == *side);
--- a/crates/mastknot_core/src/scheduler/claim_upkeep.rs
+++ b/crates/mastknot_core/src/scheduler/claim_upkeep.rs
@@ -1,6 +1,7 @@
 //! Claims that stand: renewals, links that go and come, releases.
 
 use super::claim_state::ClaimPhase;
+use super::claiming::ASKED_SIDES;
 use super::job_scheduler::JobScheduler;
 use super::{SchedulerEffect, SessionId};
 use crate::job::{EntryOrder, JobId};
@@ -115,7 +116,33 @@
         for id in self.jobs_asked_at(name) {
             self.forget_claim_at(now, id, name);
         }
-        self.claim_all(now);
+        self.claim_first_at(now, name);
+    }
+
+    /// A side is asked about the jobs of whose first sides it is one.
+    pub(super) fn claim_first_at(&mut self, now: Moment, name: &NodeName) {
+        let jobs = self.jobs.keys().copied();
+        let mut jobs: Vec<JobId> = jobs.filter(|id| self.is_among_first(*id, name)).collect();
+        jobs.sort_unstable();
+        for id in jobs {
+            self.claim(now, id);
+        }
+    }
+
+    fn is_among_first(&self, id: JobId, side: &NodeName) -> bool {
+        let Some(job) = self.jobs.get(&id) else {
+            return false;
+        };
+        let asked = job.claim.asked.iter();
+        let before = asked.filter(|asked| self.ranks_before(id, &asked.name, side));
+        before.count() < ASKED_SIDES
+    }
+
+    /// A side says whether it grants claims of jobs that this entry has not had before.
+    pub(super) fn note_takes_claims(&mut self, side: &NodeName, takes_claims: bool) {
+        if let Some(side) = self.sides.get_mut(side) {
+            side.takes_claims = takes_claims;
+        }
     }
 
     /// Asks about each job the sides that are to be asked and were not.
--- a/crates/mastknot_core/src/scheduler/claiming.rs
+++ b/crates/mastknot_core/src/scheduler/claiming.rs
@@ -18,6 +18,9 @@
 /// Which sides are asked about a job: the lowest ranks of those that are linked, the same at all entries.
 type ClaimRank<'a> = (u64, &'a NodeName);
 
+/// So many sides are asked about a job: the second one outlives a fault of the first, or of the link to it.
+pub(super) const ASKED_SIDES: usize = 2;
+
 fn claim_rank<'a>(job: JobId, name: &'a NodeName, side: &SideView) -> ClaimRank<'a> {
     (mixed(job.0 ^ mixed(u64::from(side.name_hash))), name)
 }
@@ -58,24 +61,32 @@
         self.plan_claim(id);
     }
 
-    /// The first two sides by rank; the second one outlives a fault of the first, or of the link to it.
+    /// The first sides by rank.
     fn sides_to_ask(&self, now: Moment, id: JobId) -> Vec<SideToAsk> {
-        let first = self.side_to_ask(now, id, None);
-        let second = first
-            .as_ref()
-            .and_then(|first| self.side_to_ask(now, id, Some(&first.name)));
-        first.into_iter().chain(second).collect()
+        let mut sides: Vec<SideToAsk> = Vec::with_capacity(ASKED_SIDES);
+        while sides.len() < ASKED_SIDES {
+            let Some(next) = self.next_to_ask(now, id, &sides) else {
+                break;
+            };
+            sides.push(next);
+        }
+        sides
     }
 
-    /// The first side by rank but one.
-    fn side_to_ask(&self, now: Moment, id: JobId, but: Option<&NodeName>) -> Option<SideToAsk> {
-        let was_granted = self.jobs.get(&id).is_some_and(|job| job.claim.was_granted);
+    /// The first side by rank but some.
+    fn next_to_ask(&self, now: Moment, id: JobId, but: &[SideToAsk]) -> Option<SideToAsk> {
+        let claim = &self.jobs.get(&id)?.claim;
+        let (was_granted, is_reclaim) = (claim.was_granted, claim.is_reclaim());
         let is_awaited = |side: &SideView| {
             side.awaited_until > now || (!was_granted && side.awaited_by_new_until > now)
         };
+        let may_be_asked = |side: &SideView| match side.is_resumed {
+            true => is_reclaim || side.takes_claims,
+            false => is_awaited(side),
+        };
         let sides = self.sides.iter();
-        let sides = sides.filter(|(_, side)| side.is_resumed || is_awaited(side));
-        let others = sides.filter(|(name, _)| Some(*name) != but);
+        let sides = sides.filter(|(_, side)| may_be_asked(side));
+        let others = sides.filter(|(name, _)| but.iter().all(|known| known.name != **name));
         let (name, side) = others.min_by_key(|(name, side)| claim_rank(id, name, side))?;
         Some(SideToAsk {
             name: name.clone(),
@@ -111,6 +122,7 @@
         };
         let renewed = now.max(job.deadline) + lasts;
         let term = renewed.since(now) + lasts;
+        let is_reclaim = job.claim.is_reclaim();
         if let Some(asked) = job.claim.at_mut(side) {
             asked.renewal = renewed;
             asked.due = match asked.phase {
@@ -122,6 +134,7 @@
         let claim = JobClaim {
             job: id,
             term_ms: term.as_millis() as u32,
+            is_reclaim,
         };
         self.send(session, EntryOrder::Claim(claim));
     }
@@ -182,7 +195,7 @@
         held.any(|held| self.ranks_before(id, &held.name, side))
     }
 
-    fn ranks_before(&self, id: JobId, one: &NodeName, other: &NodeName) -> bool {
+    pub(super) fn ranks_before(&self, id: JobId, one: &NodeName, other: &NodeName) -> bool {
         let rank = |name| {
             let side = self.sides.get(name);
             side.map(|side| claim_rank(id, name, side))
@@ -207,6 +220,7 @@
         if std::mem::replace(&mut job.claim.is_granted, true) {
             return;
         }
+        job.claim.is_lost = false;
         let is_first = !std::mem::replace(&mut job.claim.was_granted, true);
         if is_first {
             self.begin_patience(now, id);
@@ -225,6 +239,7 @@
             self.plan_claim(id);
             return;
         }
+        job.claim.is_lost = true;
         let has_begun = job.may_have_begun();
         let is_news = !std::mem::replace(&mut job.claim.was_elsewhere, true);
         let request_id = Arc::clone(&job.request.request_id);
--- a/crates/mastknot_core/src/scheduler/side_links.rs
+++ b/crates/mastknot_core/src/scheduler/side_links.rs
@@ -47,7 +47,18 @@
         }
         match report {
             SideReport::Hello(_) => {}
-            SideReport::Resume { running, ended } => self.resume(now, &name, running, ended),
+            SideReport::Resume {
+                running,
+                ended,
+                takes_claims,
+            } => {
+                self.note_takes_claims(&name, takes_claims);
+                self.resume(now, &name, running, ended);
+            }
+            SideReport::TakesClaims => {
+                self.note_takes_claims(&name, true);
+                self.claim_first_at(now, &name);
+            }
             SideReport::Status(status) => self.take_status(now, session, &name, status),
             SideReport::TargetCrashed(crash) => self.note_crash(now, &name, &crash),
             SideReport::FetchEntries => self.send_entries(session),
@@ -203,8 +214,9 @@
             self.learn_drained_halls(now, drained);
         }
         if let Some(view) = self.sides.get_mut(name) {
-            if view.heard_number == 0 && !view.runs.is_empty() {
-                // The side's lease for what goes on counts from the first report on this link.
+            if view.heard_number == 0 && (!view.runs.is_empty() || !view.takes_claims) {
+                // The side's lease for what goes on counts from the first report on this link, and it waits for this
+                // entry's claims.
                 view.owes_heartbeat = true;
                 self.sides_due = Some(now);
             }
--- a/crates/mastknot_core/src/scheduler/side_view.rs
+++ b/crates/mastknot_core/src/scheduler/side_view.rs
@@ -62,6 +62,8 @@
     /// What this entry's tasks pay for it, in thousandths of a target: each entry prefers others.
     pub(crate) distance: u32,
     pub(crate) is_resumed: bool,
+    /// Whether it grants claims of jobs that this entry has not had before.
+    pub(crate) takes_claims: bool,
     pub(crate) heard: Moment,
     pub(crate) heard_number: u64,
     pub(crate) beat_sent: Moment,
@@ -113,6 +115,7 @@
             is_hall_drained: false,
             distance: 0,
             is_resumed: false,
+            takes_claims: false,
             heard: now,
             heard_number: 0,
             beat_sent: Moment::default(),
@@ -143,6 +146,7 @@
         self.session = Some(session);
         self.duty = LinkDuty::Active;
         self.is_resumed = false;
+        self.takes_claims = false;
         self.heard = now;
         self.silent_by = None;
         self.heard_number = 0;
--- a/crates/mastknot_core/tests/claiming.rs
+++ b/crates/mastknot_core/tests/claiming.rs
@@ -3,9 +3,12 @@
 mod common;
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 use common::entry::*;
-use mastknot_core::job::{ClaimAnswer, EndOfRun, EntryOrder, JobAnswer, JobId, RunId, SideReport};
+use mastknot_core::job::{
+    ClaimAnswer, EndOfRun, EntryOrder, JobAnswer, JobId, RunId, SideHello, SideReport,
+};
 use mastknot_core::scheduler::{
     CallerId, JobScheduler, SchedulerEffect, SchedulerEvent, SchedulerSettings,
 };
@@ -512,3 +515,69 @@
     }
     assert_eq!(entry.scheduler.counters().claims_conflicting, 1);
 }
+
+/// A side has started anew: it has forgotten all claims.
+fn start_anew(entry: &mut Entry, ms: u64, side: u64) -> Vec<SchedulerEffect> {
+    let hello = SideHello {
+        side: format!("side-{side}").as_str().into(),
+        incarnation: Incarnation(2),
+        hall: "hall".into(),
+        config_version: 0,
+        drained: Arc::default(),
+    };
+    entry.link_down(ms, side);
+    entry.reports(ms + 20, side, vec![SideReport::Hello(hello)]);
+    let resume = SideReport::Resume {
+        running: Vec::new(),
+        ended: Vec::new(),
+        takes_claims: false,
+    };
+    entry.reports(ms + 21, side, vec![resume])
+}
+
+/// Which claims are of jobs that the entry has had.
+fn reclaims(effects: &[SchedulerEffect]) -> Vec<(u64, bool)> {
+    let reclaims = effects.iter().filter_map(|effect| match effect {
+        SchedulerEffect::Send {
+            session,
+            order: EntryOrder::Claim(claim),
+        } => Some((session.0, claim.is_reclaim)),
+        _ => None,
+    });
+    reclaims.collect()
+}
+
+#[test]
+fn a_job_that_was_granted_is_claimed_at_once_at_a_side_that_starts_anew() {
+    let mut entry = entry();
+    let (holders, _, _) = begin(&mut entry, 10, 2_000);
+    let effects = start_anew(&mut entry, 20, holders[0]);
+    assert_eq!(reclaims(&effects), [(holders[0], true)]);
+}
+
+#[test]
+fn a_new_job_is_claimed_elsewhere_until_a_side_that_starts_anew_takes_claims() {
+    let mut entry = entry();
+    let [first, second] = submit(&mut entry.clone(), 10, 2_000);
+    start_anew(&mut entry, 20, first);
+    let effects = entry.submit(50, 1, job(1, 1, 900), 2_000);
+    let asked = reclaims(&effects);
+    assert_eq!(asked.len(), 2, "{asked:?}");
+    assert!(asked.contains(&(second, false)), "{asked:?}");
+    assert!(!asked.contains(&(first, false)), "{asked:?}");
+    let effects = entry.reports(60, first, vec![SideReport::TakesClaims]);
+    assert_eq!(reclaims(&effects), [(first, false)]);
+}
+
+#[test]
+fn a_job_that_another_entry_has_is_not_claimed_as_ones_own() {
+    let mut entry = entry();
+    let sides = submit(&mut entry, 10, 2_000);
+    for side in sides {
+        hold(&mut entry, 12, side);
+    }
+    for side in 0..SIDES {
+        let effects = start_anew(&mut entry, 20, side);
+        assert_eq!(reclaims(&effects), []);
+    }
+}
--- a/crates/mastknot_core/tests/common/entry.rs
+++ b/crates/mastknot_core/tests/common/entry.rs
@@ -97,7 +97,12 @@
         self.reports(ms, side, vec![SideReport::Hello(hello)]);
         let running = Vec::new();
         let ended = Vec::new();
-        self.reports(ms, side, vec![SideReport::Resume { running, ended }]);
+        let resume = SideReport::Resume {
+            running,
+            ended,
+            takes_claims: true,
+        };
+        self.reports(ms, side, vec![resume]);
         let profile = Some(target_profile(side));
         self.status(ms, side, cpu_millis, 0, profile, Vec::new());
     }
--- a/crates/mastknot_core/tests/confirmed_links.rs
+++ b/crates/mastknot_core/tests/confirmed_links.rs
@@ -45,7 +45,12 @@
         entry.link_down(20, 0);
         entry.reports(60, 0, vec![hello()]);
         let ended = Vec::new();
-        entry.reports(62, 0, vec![SideReport::Resume { running, ended }]);
+        let resume = SideReport::Resume {
+            running,
+            ended,
+            takes_claims: true,
+        };
+        entry.reports(62, 0, vec![resume]);
         let effects = entry.status(63, 0, 16_000, 0, None, Vec::new());
         assert_eq!(confirmed(&effects).len(), usize::from(tasks));
     }
--- a/crates/mastknot_core/tests/job_claims.rs
+++ b/crates/mastknot_core/tests/job_claims.rs
@@ -10,7 +10,11 @@
 const JOB: JobId = JobId(7);
 
 fn claim(term_ms: u32) -> EntryOrder {
-    EntryOrder::Claim(JobClaim { job: JOB, term_ms })
+    EntryOrder::Claim(JobClaim {
+        job: JOB,
+        term_ms,
+        is_reclaim: false,
+    })
 }
 
 fn release() -> EntryOrder {
--- a/crates/mastknot_core/tests/link_lives.rs
+++ b/crates/mastknot_core/tests/link_lives.rs
@@ -31,6 +31,7 @@
     SideReport::Resume {
         running: Vec::new(),
         ended: Vec::new(),
+        takes_claims: true,
     }
 }
 
--- a/crates/mastknot_core/tests/room_grants.rs
+++ b/crates/mastknot_core/tests/room_grants.rs
@@ -303,7 +303,7 @@
     let effects = side.join(1_103, again, "entry-2", 1);
     let resumed = effects.iter().find_map(|effect| match effect {
         AgentEffect::Send {
-            report: SideReport::Resume { running, ended },
+            report: SideReport::Resume { running, ended, .. },
             ..
         } => Some((running.clone(), ended.clone())),
         _ => None,
--- a/crates/mastknot_side/src/agent/agent_logs.rs
+++ b/crates/mastknot_side/src/agent/agent_logs.rs
@@ -40,6 +40,9 @@
         AgentDecision::ClaimWaits { job, entry, holder } => {
             info!(target: DECISION, job:%, entry:%, holder:%; "claim_waits");
         }
+        AgentDecision::ClaimsTaken { early_claims } => {
+            info!(target: DECISION, early_claims; "claims_taken")
+        }
         AgentDecision::EntryJoined { entry } => info!(target: DECISION, entry:%; "entry_joined"),
         // Many a second in crowded times; the entry's `task_placed` says what came of each.
         AgentDecision::Offered {
--- a/crates/mastknot_side/src/agent/agent_metrics.rs
+++ b/crates/mastknot_side/src/agent/agent_metrics.rs
@@ -123,6 +123,7 @@
         AgentDecision::StopUnanswered { .. } => "stop_unanswered",
         AgentDecision::Unclaimed { .. } => "run_unclaimed",
         AgentDecision::LeaseEnded { .. } => "lease_ended",
+        AgentDecision::ClaimsTaken { .. } => "claims_taken",
         AgentDecision::EntryJoined { .. } => "entry_joined",
         AgentDecision::ClaimWaits { .. } => "claim_waits",
         AgentDecision::Offered { .. } => "room_offered",
--- a/crates/mastknot_virtual/tests/copies_beside_faults.rs
+++ b/crates/mastknot_virtual/tests/copies_beside_faults.rs
@@ -143,3 +143,25 @@
 fn a_copy_runs_alone_when_all_other_entries_are_cut_off_from_a_side() {
     assert_copies_run_alone(|side| (1..ENTRIES).map(|entry| cut(entry, side, 1_500)).collect());
 }
+
+/// All sides start again, one after the other: none of them remembers a claim.
+fn all_killed(first: usize, apart: u64) -> Vec<JobFault> {
+    let down = |side: usize| millis(250 + apart * ((side + first) % SIDES) as u64);
+    let sides = 0..SIDES;
+    sides
+        .map(|side| JobFault::KillSide {
+            side,
+            down: down(side),
+        })
+        .collect()
+}
+
+#[test]
+fn a_copy_runs_alone_when_all_sides_start_again_at_once() {
+    assert_copies_run_alone(|first| all_killed(first, 0));
+}
+
+#[test]
+fn a_copy_runs_alone_when_all_sides_start_again_one_after_the_other() {
+    assert_copies_run_alone(|first| all_killed(first, 20));
+}
