fix(entry): one side in common is enough to ask about a job; a lost link is not waited for beside it

Cause: a job waited until both of its first sides by rank were linked or no longer waited for. A third of the links gone silent concern more than half of all pairs, and an entry that loses more links than it uses waits 600 ms for them.

Change: the first two sides by rank, those that are waited for among them, still say whether an entry may ask at all. If one of them can be asked, the next side takes the place of the other; only if none can, the entry waits. A side that has just started and takes no new jobs yet counts as waited for.

Why it is safe: all other entries ask the one that was reached, or are cut off from it themselves and then ask those behind.

--- a/crates/mastknot_core/src/scheduler/claiming.rs
+++ b/crates/mastknot_core/src/scheduler/claiming.rs
@@ -25,10 +25,32 @@
     (mixed(job.0 ^ mixed(u64::from(side.name_hash))), name)
 }
 
+/// A side that is linked or waited for.
+struct RankedSide<'a> {
+    rank: ClaimRank<'a>,
+    /// None as long as its link is waited for, or it grants no claims of new jobs yet.
+    session: Option<SessionId>,
+}
+
+impl RankedSide<'_> {
+    fn is_reached(&self) -> bool {
+        self.session.is_some()
+    }
+}
+
+/// Leaves as many sides as are asked about a job: the lowest by a key, in its order.
+fn take_first<'a, K: Ord>(sides: &mut Vec<RankedSide<'a>>, key: impl Fn(&RankedSide<'a>) -> K) {
+    if sides.len() > ASKED_SIDES {
+        sides.select_nth_unstable_by_key(ASKED_SIDES, &key);
+        sides.truncate(ASKED_SIDES);
+    }
+    sides.sort_unstable_by_key(key);
+}
+
 /// A side that is to be asked about a job.
 struct SideToAsk {
     name: NodeName,
-    /// None as long as its link is waited for.
+    /// None as long as it is waited for.
     session: Option<SessionId>,
 }
 
@@ -61,37 +83,40 @@
         self.plan_claim(id);
     }
 
-    /// The first sides by rank.
+    /// The first sides by rank of those that are linked or waited for. If one of them can be asked now, the next that can
+    /// take the place of those that can't: one side in common with the other entries is enough.
     fn sides_to_ask(&self, now: Moment, id: JobId) -> Vec<SideToAsk> {
-        let mut sides: Vec<SideToAsk> = Vec::with_capacity(ASKED_SIDES);
-        while sides.len() < ASKED_SIDES {
-            let Some(next) = self.next_to_ask(now, id, &sides) else {
-                break;
-            };
-            sides.push(next);
+        let mut sides = self.ranked_sides(now, id);
+        take_first(&mut sides, |side| side.rank);
+        let is_one_reached = sides.iter().any(RankedSide::is_reached);
+        if is_one_reached && !sides.iter().all(RankedSide::is_reached) {
+            sides = self.ranked_sides(now, id);
+            take_first(&mut sides, |side| (!side.is_reached(), side.rank));
         }
-        sides
+        let sides = sides.into_iter().map(|side| SideToAsk {
+            name: side.rank.1.clone(),
+            session: side.session,
+        });
+        sides.collect()
     }
 
-    /// The first side by rank but some.
-    fn next_to_ask(&self, now: Moment, id: JobId, but: &[SideToAsk]) -> Option<SideToAsk> {
-        let claim = &self.jobs.get(&id)?.claim;
-        let (was_granted, is_reclaim) = (claim.was_granted, claim.is_reclaim());
+    /// The sides that are linked or waited for, with their ranks for a job.
+    fn ranked_sides(&self, now: Moment, id: JobId) -> Vec<RankedSide<'_>> {
+        let Some(job) = self.jobs.get(&id) else {
+            return Vec::new();
+        };
+        let (was_granted, is_reclaim) = (job.claim.was_granted, job.claim.is_reclaim());
         let is_awaited = |side: &SideView| {
             side.awaited_until > now || (!was_granted && side.awaited_by_new_until > now)
         };
-        let may_be_asked = |side: &SideView| match side.is_resumed {
-            true => is_reclaim || side.takes_claims,
-            false => is_awaited(side),
-        };
+        let takes_claim = |side: &SideView| side.is_resumed && (is_reclaim || side.takes_claims);
         let sides = self.sides.iter();
-        let sides = sides.filter(|(_, side)| may_be_asked(side));
-        let others = sides.filter(|(name, _)| but.iter().all(|known| known.name != **name));
-        let (name, side) = others.min_by_key(|(name, side)| claim_rank(id, name, side))?;
-        Some(SideToAsk {
-            name: name.clone(),
-            session: side.session.filter(|_| side.is_resumed),
-        })
+        let sides = sides.filter(|(_, side)| side.is_resumed || is_awaited(side));
+        let ranked = sides.map(|(name, side)| RankedSide {
+            rank: claim_rank(id, name, side),
+            session: side.session.filter(|_| takes_claim(side)),
+        });
+        ranked.collect()
     }
 
     fn ask(&mut self, now: Moment, id: JobId, name: NodeName, session: SessionId) {
