--- a/review/standins.rs
+++ b/review/standins.rs
@@ -10,7 +10,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -610,9 +610,15 @@
     id: String,
     address: SocketAddr,
     started: Instant,
-    born: u64,
+    /// Start time that the worker names in all that it says of itself; `None` where workers have a new id instead.
+    born: Option<u64>,
     cpu: u64,
     task_cpu: u64,
+    /// Time by which a worker that drains leaves, on its clock; 0 while it is ready.
+    leaves_ms: Arc<AtomicU64>,
+    /// Time in the record at which a side first acknowledged that the worker drains; 0 before.
+    acknowledged_ms: Arc<AtomicU64>,
+    has_ended: Arc<AtomicBool>,
     state: Arc<(Mutex<WorkerState>, Condvar)>,
     seen: Arc<Mutex<Vec<Seen>>>,
     record: Arc<Record>,
@@ -622,6 +628,7 @@
     fn start(
         ip: &str,
         id: &str,
+        born: Option<u64>,
         cpu: u64,
         task_cpu: u64,
         seen: Arc<Mutex<Vec<Seen>>>,
@@ -631,13 +638,24 @@
             id: id.to_owned(),
             address: format!("{ip}:0").parse().unwrap(),
             started: Instant::now(),
-            born: SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64,
+            born,
             cpu,
             task_cpu,
+            leaves_ms: Arc::default(),
+            acknowledged_ms: Arc::default(),
+            has_ended: Arc::default(),
             state: Arc::default(),
             seen,
             record,
         };
+        // Runs end at their time whether or not anybody calls.
+        let ended = worker.clone();
+        thread::spawn(move || {
+            loop {
+                thread::sleep(Duration::from_millis(2));
+                ended.advance(&mut ended.state.0.lock().unwrap());
+            }
+        });
         let served = worker.clone();
         worker.address = serve(worker.address, move |request| served.answer(&request))?;
         Ok(worker)
@@ -678,7 +696,21 @@
         }
     }
 
+    /// Ends the worker and all that runs on it. It answers nothing any more.
+    fn end(&self) {
+        let mut state = self.state.0.lock().unwrap();
+        self.has_ended.store(true, Ordering::Relaxed);
+        let running = std::mem::take(&mut state.running);
+        for (task, attempt) in running.into_keys() {
+            self.note(&task, attempt, "ended with its worker");
+        }
+    }
+
     fn answer(&self, request: &Request) -> Response {
+        if self.has_ended.load(Ordering::Relaxed) {
+            // Nothing listens any more.
+            return answer(503, "{}");
+        }
         if request.headers.get("x-expect-instance").is_some_and(|expected| *expected != self.id) {
             return answer(421, "{}");
         }
@@ -778,8 +810,8 @@
         let finished = finished.map(|(number, task, attempt, how)| format!("[{number},\"{task}\",{attempt},\"{how}\",\"\"]"));
         let finished: Vec<String> = finished.collect();
         format!(
-            "{{\"clockMs\":{now},\"born\":{},\"running\":[{}],\"finished\":[{}]}}",
-            self.born,
+            "{{\"clockMs\":{now},{}\"running\":[{}],\"finished\":[{}]}}",
+            self.born_field(),
             running.join(","),
             finished.join(",")
         )
@@ -790,24 +822,55 @@
         let (worker, zone) = (self.clone(), zone.to_owned());
         thread::spawn(move || {
             for number in 1_u64.. {
-                let body = format!(
-                    "{{\"service\":\"svc\",\"address\":\"{}\",\"zone\":\"{zone}\",\"version\":\"v1\",\"slots\":8,\
-                     \"state\":\"ready\",\"coldLeftMs\":0,\"capacity\":{{\"cpu\":{},\"memMb\":32768,\"gpu\":0}},\
-                     \"labels\":[\"a\",\"r1-{rack}\"],\"clockMs\":{},\"born\":{},\"seqNo\":{number}}}",
-                    worker.address,
-                    worker.cpu,
-                    worker.clock_ms(),
-                    worker.born
-                );
-                let path = format!("/mastknot/instances/{}/heartbeat", worker.id);
-                let headers = [("Host", control.to_string())];
-                let taken = call(control, "POST", &path, &headers, &body, Duration::from_secs(1));
-                // A heartbeat that is not acknowledged is sent again soon.
+                if worker.has_ended.load(Ordering::Relaxed) {
+                    return;
+                }
+                let leaves_ms = worker.leaves_ms.load(Ordering::Relaxed);
+                let state = match leaves_ms {
+                    0 => "\"ready\"".to_owned(),
+                    _ => format!("\"draining\",\"remainingMs\":{}", leaves_ms.saturating_sub(worker.clock_ms())),
+                };
+                let body = worker.heartbeat(&zone, rack, &state, number);
+                let taken = worker.send_heartbeat(control, &body);
                 let is_taken = taken.is_some_and(|taken| taken.status == 200);
+                if is_taken && leaves_ms != 0 {
+                    worker.record.line(format!("{}: its heartbeat \"draining\" was acknowledged", worker.id));
+                    let acknowledged = worker.acknowledged_ms.load(Ordering::Relaxed);
+                    if acknowledged == 0 {
+                        worker.acknowledged_ms.store(worker.record.ms(), Ordering::Relaxed);
+                    }
+                }
+                // A heartbeat that is not acknowledged is sent again soon.
                 thread::sleep(if is_taken { every } else { Duration::from_millis(100) });
             }
         });
     }
+
+    fn born_field(&self) -> String {
+        self.born.map_or(String::new(), |born| format!("\"born\":{born},"))
+    }
+
+    fn heartbeat(&self, zone: &str, rack: usize, state: &str, number: u64) -> String {
+        format!(
+            "{{\"service\":\"svc\",\"address\":\"{}\",\"zone\":\"{zone}\",\"version\":\"v1\",\"slots\":8,\
+             \"state\":{state},\"coldLeftMs\":0,\"capacity\":{{\"cpu\":{},\"memMb\":32768,\"gpu\":0}},\
+             \"labels\":[\"a\",\"r1-{rack}\"],\"clockMs\":{},{}\"seqNo\":{number}}}",
+            self.address,
+            self.cpu,
+            self.clock_ms(),
+            self.born_field()
+        )
+    }
+
+    fn send_heartbeat(&self, control: SocketAddr, body: &str) -> Option<Response> {
+        let path = format!("/mastknot/instances/{}/heartbeat", self.id);
+        let headers = [("Host", control.to_string())];
+        call(control, "POST", &path, &headers, body, Duration::from_secs(1))
+    }
+}
+
+fn unix_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64
 }
 
 // ---------------------------------------------------------------- the project's processes
@@ -872,6 +935,7 @@
         sides: usize,
         cpu: u64,
         task_cpu: u64,
+        names_born: bool,
     ) -> Result<Self, String> {
         let text = |error: std::io::Error| error.to_string();
         let folder = std::env::temp_dir().join(format!("mastknot-review-{}", std::process::id()));
@@ -893,8 +957,9 @@
         for side in 0..sides {
             let ip = bed.side_ip(side);
             let (seen, record) = (Arc::clone(&bed.seen), Arc::clone(&bed.record));
-            let worker =
-                Worker::start(&ip, &format!("i-7f3a91{side:02}"), cpu, task_cpu, seen, record).map_err(text)?;
+            let id = format!("i-7f3a91{side:02}");
+            let born = names_born.then(unix_ms);
+            let worker = Worker::start(&ip, &id, born, cpu, task_cpu, seen, record).map_err(text)?;
             worker.report(bed.control(side), HEARTBEAT, bed.zone(side), side / 3);
             let listen = format!("control = \"{ip}:{CONTROL_PORT}\"\n");
             let app = format!("app = \"{}\"\nservice = \"svc\"\n", worker.address);
@@ -1045,7 +1110,7 @@
 /// Ten clients of one zone hand in a job each. Half of them move to the other zone: their open connections stay with
 /// their node, and new ones reach the node of the other zone. Two of them cancel their jobs from there.
 fn cancels(record: &Arc<Record>, has_trouble: bool) -> Result<bool, String> {
-    let bed = Bed::start(Arc::clone(record), &["wdh-a", "wdh-b"], 2, 4, 16_000, 1_600)?;
+    let bed = Bed::start(Arc::clone(record), &["wdh-a", "wdh-b"], 2, 4, 16_000, 1_600, true)?;
     thread::sleep(Duration::from_secs(4));
     let body = "{\"spec\":\"4500,300\",\"bestEffort\":true,\"steps\":[\
                 {\"count\":2,\"cpu\":1600,\"memMb\":64,\"estRuntimeMs\":4500},\
@@ -1125,7 +1190,7 @@
 fn removal(record: &Arc<Record>, has_trouble: bool) -> Result<bool, String> {
     const REMOVED: usize = 4;
     const ENTRIES: usize = 5;
-    let mut bed = Bed::start(Arc::clone(record), &["wdh-a", "wdh-b", "wdh-c"], ENTRIES, 18, 3_200, 1_600)?;
+    let mut bed = Bed::start(Arc::clone(record), &["wdh-a", "wdh-b", "wdh-c"], ENTRIES, 18, 3_200, 1_600, true)?;
     thread::sleep(Duration::from_secs(5));
     let fronts: Vec<SocketAddr> = (0..ENTRIES).map(|entry| bed.front(entry)).collect();
     let taken_out = Arc::new(AtomicBool::new(false));
@@ -1208,6 +1273,87 @@
     Ok(is_broken)
 }
 
+// ---------------------------------------------------------------- case 3
+
+const DRAIN_MS: u64 = 2_000;
+const DRAINED: usize = 0;
+
+/// Time between the answer to a worker's `leave` and its end: the only time that the pages allow for the end of runs.
+const END_MS: u64 = STOP_TIMEOUT_MS;
+
+/// Three entries and eleven sides serve jobs whose tasks take some seconds. One worker drains, serves on, says that it
+/// leaves and ends, as in a planned end; its tasks end with it. `END_MS` in the environment sets another time for that.
+fn leaving(record: &Arc<Record>, has_trouble: bool) -> Result<bool, String> {
+    let end_ms = std::env::var("END_MS").ok().and_then(|text| text.parse().ok()).unwrap_or(END_MS);
+    let bed = Bed::start(Arc::clone(record), &["wdh-a", "wdh-b", "wdh-c"], 3, 11, 16_000, 1_600, true)?;
+    thread::sleep(Duration::from_secs(4));
+    let worker = bed.workers[DRAINED].clone();
+    let body = "{\"spec\":\"3600\",\"bestEffort\":true,\"steps\":[\
+                {\"count\":4,\"cpu\":1600,\"memMb\":64,\"estRuntimeMs\":3600}]}";
+    let clients = (0..12_usize).map(|number| {
+        let (record, front) = (Arc::clone(record), bed.front(number % 3));
+        thread::spawn(move || {
+            let id = format!("1d94b36f8a7c{number:04x}");
+            let reply = submit(front, "/pule252/", &id, body, 15_000);
+            let seen = reply.map_or("no answer".to_owned(), |reply| format!("{} {}", reply.status, reply.body));
+            record.line(format!("client of {id}: POST answered {seen}"));
+        })
+    });
+    let clients: Vec<_> = clients.collect();
+    thread::sleep(Duration::from_millis(200));
+    if has_trouble {
+        worker.leaves_ms.store(worker.clock_ms() + 3_000, Ordering::Relaxed);
+        let until = Instant::now() + Duration::from_secs(3);
+        while worker.acknowledged_ms.load(Ordering::Relaxed) == 0 && Instant::now() < until {
+            thread::sleep(Duration::from_millis(5));
+        }
+        let acknowledged_ms = worker.acknowledged_ms.load(Ordering::Relaxed);
+        if acknowledged_ms == 0 {
+            return Err("the heartbeat of the draining worker was not acknowledged".to_owned());
+        }
+        let left = (acknowledged_ms + DRAIN_MS + 100).saturating_sub(record.ms());
+        thread::sleep(Duration::from_millis(left));
+        record.line(format!("{}: leaves", worker.id));
+        let path = format!("/mastknot/instances/{}/leave", worker.id);
+        let born = worker.born.map_or(String::new(), |born| format!("{{\"born\":{born}}}"));
+        let headers = [("Host", bed.control(DRAINED).to_string())];
+        let reply = call(bed.control(DRAINED), "POST", &path, &headers, &born, Duration::from_secs(4));
+        record.line(format!("{}: leave answered {}", worker.id, reply.map_or(0, |reply| reply.status)));
+        thread::sleep(Duration::from_millis(end_ms));
+        worker.end();
+        record.line(format!("{}: has ended", worker.id));
+    }
+    for client in clients {
+        let _ = client.join();
+    }
+    let seen = bed.seen.lock().unwrap().clone();
+    let mut is_broken = false;
+    for start in seen.iter().filter(|seen| seen.what == "start") {
+        let earlier = seen.iter().filter(|other| {
+            other.what == "start" && other.task == start.task && other.attempt != start.attempt && other.at_ms <= start.at_ms
+        });
+        for other in earlier {
+            let is_end = |end: &&Seen| end.what != "start" && end.task == other.task && end.attempt == other.attempt;
+            let ended = seen.iter().find(is_end).map_or(record.ms(), |end| end.at_ms);
+            if ended > start.at_ms {
+                is_broken = true;
+                record.line(format!(
+                    "TWICE: {} ran on {} and on {} for {} ms at the same time",
+                    start.task,
+                    other.worker,
+                    start.worker,
+                    ended - start.at_ms
+                ));
+            }
+        }
+    }
+    let has_run = seen.iter().any(|seen| seen.what == "start" && seen.worker == worker.id);
+    if !has_run {
+        return Err("nothing ran on the worker that leaves".to_owned());
+    }
+    Ok(is_broken)
+}
+
 // ---------------------------------------------------------------- main
 
 fn main() {
@@ -1226,6 +1372,7 @@
     let result = match case.as_str() {
         "cancels" => cancels(&record, has_trouble),
         "removal" => removal(&record, has_trouble),
+        "leaving" => leaving(&record, has_trouble),
         _ => Err("no such case".to_owned()),
     };
     let code = match result {
