--- a/review/standins.rs
+++ b/review/standins.rs
@@ -30,7 +30,10 @@
 impl Json {
     fn parse(text: &[u8]) -> Option<Json> {
         let text = std::str::from_utf8(text).ok()?;
-        let mut parser = Parser { text: text.as_bytes(), at: 0 };
+        let mut parser = Parser {
+            text: text.as_bytes(),
+            at: 0,
+        };
         let value = parser.value()?;
         parser.space();
         (parser.at == parser.text.len()).then_some(value)
@@ -38,7 +41,10 @@
 
     fn get(&self, name: &str) -> &Json {
         match self {
-            Json::Object(fields) => fields.iter().find(|(key, _)| key == name).map_or(&Json::Null, |(_, value)| value),
+            Json::Object(fields) => fields
+                .iter()
+                .find(|(key, _)| key == name)
+                .map_or(&Json::Null, |(_, value)| value),
             _ => &Json::Null,
         }
     }
@@ -136,7 +142,11 @@
             b'n' => self.word("null", Json::Null),
             _ => {
                 let start = self.at;
-                while self.text.get(self.at).is_some_and(|byte| b"+-.eE0123456789".contains(byte)) {
+                while self
+                    .text
+                    .get(self.at)
+                    .is_some_and(|byte| b"+-.eE0123456789".contains(byte))
+                {
                     self.at += 1;
                 }
                 let digits = std::str::from_utf8(&self.text[start..self.at]).ok()?;
@@ -163,7 +173,8 @@
                         b't' => bytes.push(b'\t'),
                         b'r' => bytes.push(b'\r'),
                         b'u' => {
-                            let digits = std::str::from_utf8(self.text.get(self.at..self.at + 4)?).ok()?;
+                            let digits =
+                                std::str::from_utf8(self.text.get(self.at..self.at + 4)?).ok()?;
                             self.at += 4;
                             let code = u32::from_str_radix(digits, 16).ok()?;
                             let letter = char::from_u32(code)?;
@@ -182,7 +193,10 @@
     const DIGITS: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
     let mut text = String::new();
     for part in bytes.chunks(3) {
-        let word = part.iter().fold(0_u32, |word, byte| word << 8 | u32::from(*byte)) << (8 * (3 - part.len()));
+        let word = part
+            .iter()
+            .fold(0_u32, |word, byte| word << 8 | u32::from(*byte))
+            << (8 * (3 - part.len()));
         for digit in 0..4 {
             match digit <= part.len() {
                 true => text.push(DIGITS[(word >> (18 - 6 * digit) & 63) as usize] as char),
@@ -209,10 +223,15 @@
 }
 
 fn answer(status: u16, body: impl Into<String>) -> Response {
-    Response { status, body: body.into() }
+    Response {
+        status,
+        body: body.into(),
+    }
 }
 
-fn read_message(reader: &mut BufReader<TcpStream>) -> Option<(String, BTreeMap<String, String>, Vec<u8>)> {
+fn read_message(
+    reader: &mut BufReader<TcpStream>,
+) -> Option<(String, BTreeMap<String, String>, Vec<u8>)> {
     let mut first = String::new();
     if reader.read_line(&mut first).ok()? == 0 {
         return None;
@@ -230,7 +249,10 @@
         let (name, value) = line.split_once(':')?;
         headers.insert(name.trim().to_ascii_lowercase(), value.trim().to_owned());
     }
-    let length = headers.get("content-length").and_then(|text| text.parse().ok()).unwrap_or(0_usize);
+    let length = headers
+        .get("content-length")
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(0_usize);
     let mut body = vec![0; length];
     reader.read_exact(&mut body).ok()?;
     Some((first.trim_end().to_owned(), headers, body))
@@ -241,7 +263,9 @@
     let mut decoded = Vec::new();
     let mut at = 0;
     while at < bytes.len() {
-        let code = (bytes[at] == b'%').then(|| text.get(at + 1..at + 3)).flatten();
+        let code = (bytes[at] == b'%')
+            .then(|| text.get(at + 1..at + 3))
+            .flatten();
         match code.and_then(|code| u8::from_str_radix(code, 16).ok()) {
             Some(byte) => {
                 decoded.push(byte);
@@ -290,7 +314,9 @@
         let request = Request {
             method,
             path: path.to_owned(),
-            query: pairs.map(|(name, value)| (decode(name), decode(value))).collect(),
+            query: pairs
+                .map(|(name, value)| (decode(name), decode(value)))
+                .collect(),
             headers,
             body,
         };
@@ -328,7 +354,10 @@
     writer.write_all(head.as_bytes()).ok()?;
     let (first, _, body) = read_message(&mut BufReader::new(stream))?;
     let status = first.split(' ').nth(1)?.parse().ok()?;
-    Some(Response { status, body: String::from_utf8_lossy(&body).into_owned() })
+    Some(Response {
+        status,
+        body: String::from_utf8_lossy(&body).into_owned(),
+    })
 }
 
 // ---------------------------------------------------------------- record
@@ -373,7 +402,12 @@
 impl StoreState {
     fn put(&mut self, key: &str, value: &str, lease: u64) {
         let made = self.items.get(key).map_or(self.revision, |item| item.made);
-        let item = Item { value: value.to_owned(), revision: self.revision, made, lease };
+        let item = Item {
+            value: value.to_owned(),
+            revision: self.revision,
+            made,
+            lease,
+        };
         self.items.insert(key.to_owned(), item);
         let event = Some((value.to_owned(), made, lease));
         self.events.push((self.revision, key.to_owned(), event));
@@ -388,8 +422,12 @@
     /// Removes the keys of leases that are over. Returns them.
     fn expire(&mut self) -> Vec<String> {
         let now = Instant::now();
-        let over: Vec<u64> =
-            self.leases.iter().filter(|(_, (_, until))| *until <= now).map(|(lease, _)| *lease).collect();
+        let over: Vec<u64> = self
+            .leases
+            .iter()
+            .filter(|(_, (_, until))| *until <= now)
+            .map(|(lease, _)| *lease)
+            .collect();
         let mut gone = Vec::new();
         for lease in over {
             self.leases.remove(&lease);
@@ -403,12 +441,18 @@
     }
 
     fn keys_of(&self, lease: u64) -> Vec<String> {
-        self.items.iter().filter(|(_, item)| item.lease == lease).map(|(key, _)| key.clone()).collect()
+        self.items
+            .iter()
+            .filter(|(_, item)| item.lease == lease)
+            .map(|(key, _)| key.clone())
+            .collect()
     }
 }
 
 fn item_json(key: &str, value: &str, revision: u64, made: u64, lease: u64) -> String {
-    format!("{{\"privateKey\":\"{key}\",\"value\":\"{value}\",\"revision\":{revision},\"made\":{made},\"lease\":{lease}}}")
+    format!(
+        "{{\"privateKey\":\"{key}\",\"value\":\"{value}\",\"revision\":{revision},\"made\":{made},\"lease\":{lease}}}"
+    )
 }
 
 #[derive(Clone)]
@@ -422,7 +466,9 @@
         let state: Arc<(Mutex<StoreState>, Condvar)> = Arc::default();
         state.0.lock().unwrap().next_lease = 77_000;
         let served = Arc::clone(&state);
-        let address = serve(format!("{ip}:0").parse().unwrap(), move |request| answer_store(&served, &request))?;
+        let address = serve(format!("{ip}:0").parse().unwrap(), move |request| {
+            answer_store(&served, &request)
+        })?;
         let expired = Arc::clone(&state);
         thread::spawn(move || {
             loop {
@@ -460,7 +506,10 @@
             match state.items.get(&key) {
                 Some(item) => {
                     let body = item_json(&key, &item.value, item.revision, item.made, item.lease);
-                    answer(200, format!("{},\"at\":{}}}", body.trim_end_matches('}'), state.revision))
+                    answer(
+                        200,
+                        format!("{},\"at\":{}}}", body.trim_end_matches('}'), state.revision),
+                    )
                 }
                 None => answer(404, "{}"),
             }
@@ -468,32 +517,59 @@
         ("GET", ["mastknot", "kv-range"]) => {
             let (prefix, after) = (query("pathPrefix"), query("sinceRev"));
             let items = state.items.iter();
-            let items = items.filter(|(key, _)| key.starts_with(&prefix) && (after.is_empty() || **key > after));
-            let items: Vec<String> =
-                items.map(|(key, item)| item_json(key, &item.value, item.revision, item.made, item.lease)).collect();
-            answer(200, format!("{{\"items\":[{}],\"more\":false,\"at\":{}}}", items.join(","), state.revision))
+            let items = items
+                .filter(|(key, _)| key.starts_with(&prefix) && (after.is_empty() || **key > after));
+            let items: Vec<String> = items
+                .map(|(key, item)| {
+                    item_json(key, &item.value, item.revision, item.made, item.lease)
+                })
+                .collect();
+            answer(
+                200,
+                format!(
+                    "{{\"items\":[{}],\"more\":false,\"at\":{}}}",
+                    items.join(","),
+                    state.revision
+                ),
+            )
         }
         ("GET", ["mastknot", "kv-watch"]) => {
             let prefix = query("pathPrefix");
             let since: u64 = query("sinceRev").parse().unwrap_or(0);
-            let until = Instant::now() + Duration::from_millis(query("waitMs").parse().unwrap_or(0));
+            let until =
+                Instant::now() + Duration::from_millis(query("waitMs").parse().unwrap_or(0));
             loop {
-                let events = state.events.iter().filter(|(revision, key, _)| *revision > since && key.starts_with(&prefix));
+                let events = state
+                    .events
+                    .iter()
+                    .filter(|(revision, key, _)| *revision > since && key.starts_with(&prefix));
                 let events: Vec<String> = events
                     .map(|(revision, key, value)| match value {
-                        Some((value, made, lease)) => item_json(key, value, *revision, *made, *lease),
-                        None => format!("{{\"privateKey\":\"{key}\",\"revision\":{revision},\"gone\":true}}"),
+                        Some((value, made, lease)) => {
+                            item_json(key, value, *revision, *made, *lease)
+                        }
+                        None => format!(
+                            "{{\"privateKey\":\"{key}\",\"revision\":{revision},\"gone\":true}}"
+                        ),
                     })
                     .collect();
                 let left = until.saturating_duration_since(Instant::now());
                 if !events.is_empty() || left.is_zero() {
-                    return answer(200, format!("{{\"events\":[{}],\"at\":{}}}", events.join(","), state.revision));
+                    return answer(
+                        200,
+                        format!(
+                            "{{\"events\":[{}],\"at\":{}}}",
+                            events.join(","),
+                            state.revision
+                        ),
+                    );
                 }
                 state = shared.1.wait_timeout(state, left).unwrap().0;
             }
         }
         ("POST", ["mastknot", "kv-lease"]) => {
-            let Some(ttl) = Json::parse(&request.body).and_then(|body| body.get("ttl_ms").number()) else {
+            let Some(ttl) = Json::parse(&request.body).and_then(|body| body.get("ttl_ms").number())
+            else {
                 return answer(400, "{}");
             };
             let ttl = ttl.clamp(1_000, 600_000);
@@ -530,30 +606,48 @@
                 return answer(400, "{}");
             };
             let expected = body.get("expectedRev").list();
-            let revision_of = |state: &StoreState, key: &str| state.items.get(key).map_or(0, |item| item.revision);
+            let revision_of = |state: &StoreState, key: &str| {
+                state.items.get(key).map_or(0, |item| item.revision)
+            };
             let is_as_expected = expected.iter().all(|row| {
-                row.get("revision").number() == Some(revision_of(&state, row.get("privateKey").text()))
+                row.get("revision").number()
+                    == Some(revision_of(&state, row.get("privateKey").text()))
             });
             if !is_as_expected {
                 let items = expected.iter().filter_map(|row| {
                     let key = row.get("privateKey").text();
                     let item = state.items.get(key)?;
-                    Some(item_json(key, &item.value, item.revision, item.made, item.lease))
+                    Some(item_json(
+                        key,
+                        &item.value,
+                        item.revision,
+                        item.made,
+                        item.lease,
+                    ))
                 });
                 let items: Vec<String> = items.collect();
                 return answer(412, format!("{{\"items\":[{}]}}", items.join(",")));
             }
             let puts = body.get("put").list();
             let removed = body.get("remove").list();
-            let leases = puts.iter().filter_map(|put| put.get("lease").number()).filter(|lease| *lease != 0);
-            if leases.into_iter().any(|lease| !state.leases.contains_key(&lease)) {
+            let leases = puts
+                .iter()
+                .filter_map(|put| put.get("lease").number())
+                .filter(|lease| *lease != 0);
+            if leases
+                .into_iter()
+                .any(|lease| !state.leases.contains_key(&lease))
+            {
                 return answer(404, "{}");
             }
             if !puts.is_empty() || !removed.is_empty() {
                 state.revision += 1;
             }
             for put in puts {
-                let (key, value) = (put.get("privateKey").text().to_owned(), put.get("value").text().to_owned());
+                let (key, value) = (
+                    put.get("privateKey").text().to_owned(),
+                    put.get("value").text().to_owned(),
+                );
                 if key.starts_with("op/") || key.starts_with("servers/") {
                     return answer(403, "{}");
                 }
@@ -647,7 +741,10 @@
     ) -> std::io::Result<Self> {
         let mut worker = Self {
             id: id.to_owned(),
-            incarnation: Arc::new(Mutex::new(Incarnation { number: 0, started: Instant::now() })),
+            incarnation: Arc::new(Mutex::new(Incarnation {
+                number: 0,
+                started: Instant::now(),
+            })),
             is_down: Arc::default(),
             connections: Arc::default(),
             address: format!("{ip}:0").parse().unwrap(),
@@ -701,7 +798,9 @@
                 self.connections.lock().unwrap().push(copy);
             }
             let worker = self.clone();
-            thread::spawn(move || serve_connection(stream, Arc::new(move |request| worker.answer(&request))));
+            thread::spawn(move || {
+                serve_connection(stream, Arc::new(move |request| worker.answer(&request)))
+            });
         }
     }
 
@@ -734,17 +833,32 @@
             incarnation.started = Instant::now();
         }
         self.is_down.store(false, Ordering::Relaxed);
-        self.record.line(format!("{}: is up at the same address", self.name()));
+        self.record
+            .line(format!("{}: is up at the same address", self.name()));
     }
 
     fn clock_ms(&self) -> u64 {
-        1_000 + self.incarnation.lock().unwrap().started.elapsed().as_millis() as u64
+        1_000
+            + self
+                .incarnation
+                .lock()
+                .unwrap()
+                .started
+                .elapsed()
+                .as_millis() as u64
     }
 
     fn note(&self, task: &str, attempt: u64, what: &'static str) {
         let at_ms = self.record.ms();
-        self.record.line(format!("{}: {what} {task} attempt {attempt}", self.id));
-        let seen = Seen { at_ms, worker: self.id.clone(), task: task.to_owned(), attempt, what };
+        self.record
+            .line(format!("{}: {what} {task} attempt {attempt}", self.id));
+        let seen = Seen {
+            at_ms,
+            worker: self.id.clone(),
+            task: task.to_owned(),
+            attempt,
+            what,
+        };
         self.seen.lock().unwrap().push(seen);
     }
 
@@ -762,7 +876,11 @@
             let Some(run) = state.running.remove(&(task.clone(), attempt)) else {
                 continue;
             };
-            let how = if run.ends_ms <= now { run.how } else { "lapsed" };
+            let how = if run.ends_ms <= now {
+                run.how
+            } else {
+                "lapsed"
+            };
             let fence = state.fences.entry(task.clone()).or_default();
             *fence = (*fence).max(attempt);
             state.next_end += 1;
@@ -787,7 +905,11 @@
             // Nothing listens any more.
             return answer(503, "{}");
         }
-        if request.headers.get("x-expect-instance").is_some_and(|expected| *expected != self.name()) {
+        if request
+            .headers
+            .get("x-expect-instance")
+            .is_some_and(|expected| *expected != self.name())
+        {
             return answer(421, "{}");
         }
         let Some(body) = Json::parse(&request.body) else {
@@ -803,7 +925,10 @@
         match request.path.as_str() {
             "/mastknot/run-start" => self.run_start(&mut state, &body),
             "/mastknot/run-stop" => {
-                let (task, attempt) = (body.get("task").text().to_owned(), body.get("attempt").number().unwrap_or(0));
+                let (task, attempt) = (
+                    body.get("task").text().to_owned(),
+                    body.get("attempt").number().unwrap_or(0),
+                );
                 let now = self.clock_ms();
                 match state.running.get_mut(&(task.clone(), attempt)) {
                     Some(run) if run.how == "stopped" => {}
@@ -824,13 +949,19 @@
                 }
                 let seen = body.get("lastSeen").number().unwrap_or(0);
                 state.finished.retain(|(number, ..)| *number > seen);
-                let until = Instant::now() + Duration::from_millis(body.get("waitMs").number().unwrap_or(0).min(2_000));
+                let until = Instant::now()
+                    + Duration::from_millis(body.get("waitMs").number().unwrap_or(0).min(2_000));
                 loop {
                     self.advance(&mut state);
                     if !state.finished.is_empty() || Instant::now() >= until {
                         return answer(200, self.view(&state));
                     }
-                    state = self.state.1.wait_timeout(state, Duration::from_millis(2)).unwrap().0;
+                    state = self
+                        .state
+                        .1
+                        .wait_timeout(state, Duration::from_millis(2))
+                        .unwrap()
+                        .0;
                 }
             }
             _ => answer(404, "{}"),
@@ -838,7 +969,13 @@
     }
 
     fn conflict(&self, reason: &str) -> Response {
-        answer(409, format!("{{\"clockMs\":{},\"reason\":\"{reason}\"}}", self.clock_ms()))
+        answer(
+            409,
+            format!(
+                "{{\"clockMs\":{},\"reason\":\"{reason}\"}}",
+                self.clock_ms()
+            ),
+        )
     }
 
     fn extend_hold(&self, state: &mut WorkerState, until_ms: u64) {
@@ -847,7 +984,10 @@
     }
 
     fn run_start(&self, state: &mut WorkerState, body: &Json) -> Response {
-        let (task, attempt) = (body.get("task").text().to_owned(), body.get("attempt").number().unwrap_or(0));
+        let (task, attempt) = (
+            body.get("task").text().to_owned(),
+            body.get("attempt").number().unwrap_or(0),
+        );
         let now = self.clock_ms();
         let deadline = body.get("deadlineMs").number().unwrap_or(0);
         if deadline <= now {
@@ -857,19 +997,37 @@
         if state.running.contains_key(&(task.clone(), attempt)) {
             return answer(200, format!("{{\"clockMs\":{now}}}"));
         }
-        if state.fences.get(&task).is_some_and(|fence| attempt <= *fence) {
+        if state
+            .fences
+            .get(&task)
+            .is_some_and(|fence| attempt <= *fence)
+        {
             return self.conflict("old");
         }
         let used: u64 = state.running.values().map(|run| run.cpu).sum();
         if used + self.task_cpu > self.cpu {
             return self.conflict("room");
         }
-        let step: usize = task.split('.').nth(2).and_then(|step| step.parse().ok()).unwrap_or(0);
-        let times: Vec<u64> = body.get("spec").text().split(',').filter_map(|time| time.parse().ok()).collect();
+        let step: usize = task
+            .split('.')
+            .nth(2)
+            .and_then(|step| step.parse().ok())
+            .unwrap_or(0);
+        let times: Vec<u64> = body
+            .get("spec")
+            .text()
+            .split(',')
+            .filter_map(|time| time.parse().ok())
+            .collect();
         let Some(time) = times.get(step).or(times.last()).copied() else {
             return answer(400, "{}");
         };
-        let run = Running { cpu: self.task_cpu, begun_ms: now, ends_ms: now + time, how: "done" };
+        let run = Running {
+            cpu: self.task_cpu,
+            begun_ms: now,
+            ends_ms: now + time,
+            how: "done",
+        };
         state.running.insert((task.clone(), attempt), run);
         self.note(&task, attempt, "start");
         answer(200, format!("{{\"clockMs\":{now}}}"))
@@ -879,11 +1037,17 @@
         let now = self.clock_ms();
         let running = state.running.iter().map(|((task, attempt), run)| {
             let percent = 100 * (now - run.begun_ms) / (run.ends_ms - run.begun_ms).max(1);
-            format!("[\"{task}\",{attempt},\"\",{},{}]", percent.min(99), run.cpu)
+            format!(
+                "[\"{task}\",{attempt},\"\",{},{}]",
+                percent.min(99),
+                run.cpu
+            )
         });
         let running: Vec<String> = running.collect();
         let finished = state.finished.iter().take(500);
-        let finished = finished.map(|(number, task, attempt, how)| format!("[{number},\"{task}\",{attempt},\"{how}\",\"\"]"));
+        let finished = finished.map(|(number, task, attempt, how)| {
+            format!("[{number},\"{task}\",{attempt},\"{how}\",\"\"]")
+        });
         let finished: Vec<String> = finished.collect();
         format!(
             "{{\"clockMs\":{now},{}\"running\":[{}],\"finished\":[{}]}}",
@@ -910,16 +1074,24 @@
                 let leaves_ms = worker.leaves_ms.load(Ordering::Relaxed);
                 let state = match leaves_ms {
                     0 => "\"ready\"".to_owned(),
-                    _ => format!("\"draining\",\"remainingMs\":{}", leaves_ms.saturating_sub(worker.clock_ms())),
+                    _ => format!(
+                        "\"draining\",\"remainingMs\":{}",
+                        leaves_ms.saturating_sub(worker.clock_ms())
+                    ),
                 };
                 let body = worker.heartbeat(&zone, rack, &state, number);
                 let taken = worker.send_heartbeat(control, &body);
                 let is_taken = taken.is_some_and(|taken| taken.status == 200);
                 if is_taken && leaves_ms != 0 {
-                    worker.record.line(format!("{}: its heartbeat \"draining\" was acknowledged", worker.id));
+                    worker.record.line(format!(
+                        "{}: its heartbeat \"draining\" was acknowledged",
+                        worker.id
+                    ));
                     let acknowledged = worker.acknowledged_ms.load(Ordering::Relaxed);
                     if acknowledged == 0 {
-                        worker.acknowledged_ms.store(worker.record.ms(), Ordering::Relaxed);
+                        worker
+                            .acknowledged_ms
+                            .store(worker.record.ms(), Ordering::Relaxed);
                     }
                 }
                 thread::sleep(every);
@@ -928,7 +1100,8 @@
     }
 
     fn born_field(&self) -> String {
-        self.born.map_or(String::new(), |born| format!("\"born\":{born},"))
+        self.born
+            .map_or(String::new(), |born| format!("\"born\":{born},"))
     }
 
     fn heartbeat(&self, zone: &str, rack: usize, state: &str, number: u64) -> String {
@@ -946,12 +1119,22 @@
     fn send_heartbeat(&self, control: SocketAddr, body: &str) -> Option<Response> {
         let path = format!("/mastknot/instances/{}/heartbeat", self.name());
         let headers = [("Host", control.to_string())];
-        call(control, "POST", &path, &headers, body, Duration::from_secs(1))
+        call(
+            control,
+            "POST",
+            &path,
+            &headers,
+            body,
+            Duration::from_secs(1),
+        )
     }
 }
 
 fn unix_ms() -> u64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap()
+        .as_millis() as u64
 }
 
 // ---------------------------------------------------------------- the project's processes
@@ -963,7 +1146,9 @@
 
 impl Process {
     fn signal(&self, name: &str) {
-        let _ = Command::new("kill").args([name, &self.child.id().to_string()]).status();
+        let _ = Command::new("kill")
+            .args([name, &self.child.id().to_string()])
+            .status();
     }
 
     fn has_ended(&mut self) -> bool {
@@ -972,10 +1157,16 @@
 
     /// Returns the processor time that the process has used so far, in milliseconds.
     fn cpu_ms(&self) -> u64 {
-        let text = std::fs::read_to_string(format!("/proc/{}/stat", self.child.id())).unwrap_or_default();
+        let text =
+            std::fs::read_to_string(format!("/proc/{}/stat", self.child.id())).unwrap_or_default();
         let after_name = text.rsplit(')').next().unwrap_or_default();
         let fields: Vec<&str> = after_name.split_whitespace().collect();
-        let ticks = |field: usize| fields.get(field).and_then(|text| text.parse::<u64>().ok()).unwrap_or(0);
+        let ticks = |field: usize| {
+            fields
+                .get(field)
+                .and_then(|text| text.parse::<u64>().ok())
+                .unwrap_or(0)
+        };
         // Fields 14 and 15 of the line, in ticks of 10 ms: time in the program and in the kernel for it.
         (ticks(11) + ticks(12)) * 10
     }
@@ -1049,7 +1240,16 @@
             let listen = format!(
                 "front = \"{ip}:{FRONT_PORT}\"\nready = \"{ip}:{READY_PORT}\"\ncontrol = \"{ip}:{CONTROL_PORT}\"\n"
             );
-            let process = bed.spawn("entry", &format!("front-{entry}"), &ip, entry, "", &listen, "0.25", 260)?;
+            let process = bed.spawn(
+                "entry",
+                &format!("front-{entry}"),
+                &ip,
+                entry,
+                "",
+                &listen,
+                "0.25",
+                260,
+            )?;
             bed.entries.push(process);
         }
         for entry in 0..entries {
@@ -1058,20 +1258,39 @@
         Ok(bed)
     }
 
-    fn start_worker(&mut self, side: usize, cpu: u64, task_cpu: u64, names_born: bool) -> Result<(), String> {
+    fn start_worker(
+        &mut self,
+        side: usize,
+        cpu: u64,
+        task_cpu: u64,
+        names_born: bool,
+    ) -> Result<(), String> {
         let (seen, record) = (Arc::clone(&self.seen), Arc::clone(&self.record));
         let id = format!("i-7f3a91{side:02}");
         let born = names_born.then(unix_ms);
         let worker = Worker::start(&self.side_ip(side), &id, born, cpu, task_cpu, seen, record);
-        self.workers.push(worker.map_err(|error| error.to_string())?);
+        self.workers
+            .push(worker.map_err(|error| error.to_string())?);
         Ok(())
     }
 
     fn start_side(&mut self, side: usize) -> Result<(), String> {
         let ip = self.side_ip(side);
         let listen = format!("control = \"{ip}:{CONTROL_PORT}\"\n");
-        let app = format!("app = \"{}\"\nservice = \"svc\"\n", self.workers[side].address);
-        let process = self.spawn("side", &format!("side-{side}"), &ip, side, &app, &listen, "0.15", 128)?;
+        let app = format!(
+            "app = \"{}\"\nservice = \"svc\"\n",
+            self.workers[side].address
+        );
+        let process = self.spawn(
+            "side",
+            &format!("side-{side}"),
+            &ip,
+            side,
+            &app,
+            &listen,
+            "0.15",
+            128,
+        )?;
         self.sides.push(process);
         Ok(())
     }
@@ -1089,11 +1308,15 @@
     }
 
     fn front(&self, entry: usize) -> SocketAddr {
-        format!("{}:{FRONT_PORT}", self.entry_ip(entry)).parse().unwrap()
+        format!("{}:{FRONT_PORT}", self.entry_ip(entry))
+            .parse()
+            .unwrap()
     }
 
     fn control(&self, side: usize) -> SocketAddr {
-        format!("{}:{CONTROL_PORT}", self.side_ip(side)).parse().unwrap()
+        format!("{}:{CONTROL_PORT}", self.side_ip(side))
+            .parse()
+            .unwrap()
     }
 
     #[allow(clippy::too_many_arguments)]
@@ -1109,7 +1332,11 @@
         memory: u32,
     ) -> Result<Process, String> {
         let seeds = format!("\"{}:{CONTROL_PORT}\"", self.entry_ip(0));
-        let zones: Vec<String> = self.zones.iter().map(|zone| format!("{zone} = \"windhoek\"\n")).collect();
+        let zones: Vec<String> = self
+            .zones
+            .iter()
+            .map(|zone| format!("{zone} = \"windhoek\"\n"))
+            .collect();
         let class = if role == "entry" { "front" } else { "side" };
         let text = format!(
             "nodeName = \"{name}\"\nrole = \"{role}\"\nmachineClass = \"{class}\"\nip = \"{ip}\"\nzone = \"{}\"\n\
@@ -1126,7 +1353,8 @@
         );
         let settings = self.folder.join(format!("{name}.toml"));
         std::fs::write(&settings, text).map_err(|error| error.to_string())?;
-        let log = File::create(self.folder.join(format!("{name}.log"))).map_err(|error| error.to_string())?;
+        let log = File::create(self.folder.join(format!("{name}.log")))
+            .map_err(|error| error.to_string())?;
         let child = Command::new("target/release/mastknot-platform")
             .arg(role)
             .env("MASTKNOT_NODE_FILE", &settings)
@@ -1135,14 +1363,27 @@
             .stdout(log)
             .spawn()
             .map_err(|error| format!("target/release/mastknot-platform: {error}"))?;
-        self.record.line(format!("{name}: started, process {}", child.id()));
-        Ok(Process { name: name.to_owned(), child })
+        self.record
+            .line(format!("{name}: started, process {}", child.id()));
+        Ok(Process {
+            name: name.to_owned(),
+            child,
+        })
     }
 
     fn is_ready(&self, entry: usize) -> bool {
-        let address: SocketAddr = format!("{}:{READY_PORT}", self.entry_ip(entry)).parse().unwrap();
+        let address: SocketAddr = format!("{}:{READY_PORT}", self.entry_ip(entry))
+            .parse()
+            .unwrap();
         let headers = [("Host", address.to_string())];
-        let reply = call(address, "GET", "/mastknot/ready", &headers, "", Duration::from_secs(1));
+        let reply = call(
+            address,
+            "GET",
+            "/mastknot/ready",
+            &headers,
+            "",
+            Duration::from_secs(1),
+        );
         reply.is_some_and(|reply| reply.status == 200)
     }
 
@@ -1173,14 +1414,18 @@
 /// Finds a loopback network in which the ports of the first machines are free.
 fn free_net() -> Option<String> {
     let start = std::process::id();
-    (0..200).map(|offset| start.wrapping_add(offset)).find_map(|number| {
-        let net = format!("127.{}.{}", 20 + number / 250 % 200, 1 + number % 250);
-        let is_free = |host: u32| {
-            let ports = [LINK_PORT, FRONT_PORT, CONTROL_PORT, 9_464];
-            ports.into_iter().all(|port| TcpListener::bind(format!("{net}.{host}:{port}")).is_ok())
-        };
-        [10, 11, 100, 101].into_iter().all(is_free).then_some(net)
-    })
+    (0..200)
+        .map(|offset| start.wrapping_add(offset))
+        .find_map(|number| {
+            let net = format!("127.{}.{}", 20 + number / 250 % 200, 1 + number % 250);
+            let is_free = |host: u32| {
+                let ports = [LINK_PORT, FRONT_PORT, CONTROL_PORT, 9_464];
+                ports
+                    .into_iter()
+                    .all(|port| TcpListener::bind(format!("{net}.{host}:{port}")).is_ok())
+            };
+            [10, 11, 100, 101].into_iter().all(is_free).then_some(net)
+        })
 }
 
 /// The operator's configuration, of the form that the pages show; one queue has the time for jobs of some seconds.
@@ -1191,9 +1436,25 @@
 "services":[{"name":"svc","healthPath":"/health","maxConns":64,"protocol":"h1","tls":false,"rejectsOverload":true,"headroom":false}],
 "limits":{"maxHeaderBytes":16384,"maxBodyBytes":262144,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}"#;
 
-fn submit(front: SocketAddr, prefix: &str, id: &str, body: &str, deadline_ms: u64) -> Option<Response> {
-    let headers = [("Host", HOST.to_owned()), ("X-Deadline-Ms", deadline_ms.to_string())];
-    call(front, "POST", &format!("{prefix}{id}"), &headers, body, Duration::from_millis(deadline_ms))
+fn submit(
+    front: SocketAddr,
+    prefix: &str,
+    id: &str,
+    body: &str,
+    deadline_ms: u64,
+) -> Option<Response> {
+    let headers = [
+        ("Host", HOST.to_owned()),
+        ("X-Deadline-Ms", deadline_ms.to_string()),
+    ];
+    call(
+        front,
+        "POST",
+        &format!("{prefix}{id}"),
+        &headers,
+        body,
+        Duration::from_millis(deadline_ms),
+    )
 }
 
 // ---------------------------------------------------------------- case 1
@@ -1204,18 +1465,30 @@
 /// Ten clients of one zone hand in a job each. Half of them move to the other zone: their open connections stay with
 /// their node, and new ones reach the node of the other zone. Two of them cancel their jobs from there.
 fn cancels(record: &Arc<Record>, has_trouble: bool) -> Result<bool, String> {
-    let bed = Bed::start(Arc::clone(record), &["wdh-a", "wdh-b"], 2, 4, 16_000, 1_600, true)?;
+    let bed = Bed::start(
+        Arc::clone(record),
+        &["wdh-a", "wdh-b"],
+        2,
+        4,
+        16_000,
+        1_600,
+        true,
+    )?;
     thread::sleep(Duration::from_secs(4));
     let body = "{\"spec\":\"4500,300\",\"bestEffort\":true,\"steps\":[\
                 {\"count\":2,\"cpu\":1600,\"memMb\":64,\"estRuntimeMs\":4500},\
                 {\"count\":2,\"cpu\":1600,\"memMb\":64,\"estRuntimeMs\":300,\"sinceRev\":[0]}]}";
-    let jobs: Vec<String> = (0..10).map(|number| format!("5c0e7a21d94b36f{number}")).collect();
+    let jobs: Vec<String> = (0..10)
+        .map(|number| format!("5c0e7a21d94b36f{number}"))
+        .collect();
     let clients = jobs.iter().map(|job| {
         let (record, job, front) = (Arc::clone(record), job.clone(), bed.front(0));
         thread::spawn(move || {
             record.line(format!("client of {job}: POST to front-0"));
             let reply = submit(front, "/pule252/", &job, body, 15_000);
-            let seen = reply.map_or("no answer".to_owned(), |reply| format!("{} {}", reply.status, reply.body));
+            let seen = reply.map_or("no answer".to_owned(), |reply| {
+                format!("{} {}", reply.status, reply.body)
+            });
             record.line(format!("client of {job}: POST answered {seen}"));
         })
     });
@@ -1230,7 +1503,14 @@
         let headers = [("Host", HOST.to_owned())];
         record.line(format!("client of {job}: DELETE to front-{new_front}"));
         let front = bed.front(new_front);
-        let reply = call(front, "DELETE", &format!("/pule252/{job}"), &headers, "", Duration::from_secs(4));
+        let reply = call(
+            front,
+            "DELETE",
+            &format!("/pule252/{job}"),
+            &headers,
+            "",
+            Duration::from_secs(4),
+        );
         let Some(reply) = reply else {
             return Err("a cancel got no answer".to_owned());
         };
@@ -1246,7 +1526,10 @@
     let seen = bed.seen.lock().unwrap().clone();
     let mut is_broken = false;
     for (job, at_ms) in &acknowledged {
-        for start in seen.iter().filter(|seen| seen.what == "start" && seen.task.starts_with(job.as_str())) {
+        for start in seen
+            .iter()
+            .filter(|seen| seen.what == "start" && seen.task.starts_with(job.as_str()))
+        {
             if start.at_ms > at_ms + CANCEL_MS {
                 is_broken = true;
                 record.line(format!(
@@ -1256,15 +1539,27 @@
                     start.at_ms - at_ms
                 ));
             }
-            let is_end = |seen: &&Seen| seen.what != "start" && seen.task == start.task && seen.attempt == start.attempt;
-            let ended = seen.iter().find(is_end).map_or(record.ms(), |end| end.at_ms);
+            let is_end = |seen: &&Seen| {
+                seen.what != "start" && seen.task == start.task && seen.attempt == start.attempt
+            };
+            let ended = seen
+                .iter()
+                .find(is_end)
+                .map_or(record.ms(), |end| end.at_ms);
             if start.at_ms <= at_ms + CANCEL_MS && ended > at_ms + CANCEL_MS + STOP_TIMEOUT_MS {
                 is_broken = true;
-                record.line(format!("UNASKED: {} ran until {} ms after that acknowledgement", start.task, ended - at_ms));
+                record.line(format!(
+                    "UNASKED: {} ran until {} ms after that acknowledgement",
+                    start.task,
+                    ended - at_ms
+                ));
             }
         }
     }
-    let done = |job: &String| seen.iter().any(|seen| seen.what == "done" && seen.task.starts_with(&format!("{job}.0.1.")));
+    let done = |job: &String| {
+        seen.iter()
+            .any(|seen| seen.what == "done" && seen.task.starts_with(&format!("{job}.0.1.")))
+    };
     if acknowledged.len() < 2 || !jobs[..8].iter().all(done) {
         return Err("not all jobs were served, or a cancel was not acknowledged".to_owned());
     }
@@ -1278,9 +1573,18 @@
 /// side stands still for 1.2 s.
 fn added_machine(record: &Arc<Record>, has_trouble: bool) -> Result<bool, String> {
     const ADDED: usize = 11;
-    let flag = |name: &str| std::env::var(name).map_or(has_trouble, |value| has_trouble && value != "0");
+    let flag =
+        |name: &str| std::env::var(name).map_or(has_trouble, |value| has_trouble && value != "0");
     let (crashes, freezes) = (flag("CRASH"), flag("FREEZE"));
-    let mut bed = Bed::start(Arc::clone(record), &["z1", "z2", "z3"], 3, ADDED, 32_000, 3_100, false)?;
+    let mut bed = Bed::start(
+        Arc::clone(record),
+        &["z1", "z2", "z3"],
+        3,
+        ADDED,
+        32_000,
+        3_100,
+        false,
+    )?;
     thread::sleep(Duration::from_secs(3));
     let is_over = Arc::new(AtomicBool::new(false));
     let fronts: Vec<SocketAddr> = (0..3).map(|entry| bed.front(entry)).collect();
@@ -1297,7 +1601,9 @@
                             {\"count\":4,\"cpu\":3100,\"memMb\":64,\"estRuntimeMs\":900}]}";
                 let id = format!("e21d94b3{number:08x}");
                 let reply = submit(front, "/pufi791/", &id, body, 1_500);
-                let seen = reply.map_or("no answer".to_owned(), |reply| format!("{} {}", reply.status, reply.body));
+                let seen = reply.map_or("no answer".to_owned(), |reply| {
+                    format!("{} {}", reply.status, reply.body)
+                });
                 record.line(format!("client of {id}: POST answered {seen}"));
             }));
             thread::sleep(Duration::from_millis(60));
@@ -1332,7 +1638,10 @@
     let _ = traffic.join();
     thread::sleep(Duration::from_millis(500));
     let seen = bed.seen.lock().unwrap().clone();
-    if !seen.iter().any(|seen| seen.what == "start" && seen.worker == worker.id) {
+    if !seen
+        .iter()
+        .any(|seen| seen.what == "start" && seen.worker == worker.id)
+    {
         return Err("nothing ran on the added machine".to_owned());
     }
     Ok(has_run_twice(record, &seen))
@@ -1343,11 +1652,19 @@
     let mut is_broken = false;
     for start in seen.iter().filter(|seen| seen.what == "start") {
         let earlier = seen.iter().filter(|other| {
-            other.what == "start" && other.task == start.task && other.attempt != start.attempt && other.at_ms <= start.at_ms
+            other.what == "start"
+                && other.task == start.task
+                && other.attempt != start.attempt
+                && other.at_ms <= start.at_ms
         });
         for other in earlier {
-            let is_end = |end: &&Seen| end.what != "start" && end.task == other.task && end.attempt == other.attempt;
-            let ended = seen.iter().find(is_end).map_or(record.ms(), |end| end.at_ms);
+            let is_end = |end: &&Seen| {
+                end.what != "start" && end.task == other.task && end.attempt == other.attempt
+            };
+            let ended = seen
+                .iter()
+                .find(is_end)
+                .map_or(record.ms(), |end| end.at_ms);
             if ended > start.at_ms {
                 is_broken = true;
                 record.line(format!(
@@ -1379,7 +1696,15 @@
 fn removal(record: &Arc<Record>, has_trouble: bool) -> Result<bool, String> {
     const REMOVED: usize = 4;
     const ENTRIES: usize = 5;
-    let mut bed = Bed::start(Arc::clone(record), &["wdh-a", "wdh-b", "wdh-c"], ENTRIES, 18, 3_200, 1_600, true)?;
+    let mut bed = Bed::start(
+        Arc::clone(record),
+        &["wdh-a", "wdh-b", "wdh-c"],
+        ENTRIES,
+        18,
+        3_200,
+        1_600,
+        true,
+    )?;
     thread::sleep(Duration::from_secs(5));
     let fronts: Vec<SocketAddr> = (0..ENTRIES).map(|entry| bed.front(entry)).collect();
     let taken_out = Arc::new(AtomicBool::new(false));
@@ -1387,15 +1712,27 @@
     let is_burst = Arc::new(AtomicBool::new(false));
     let answers: Arc<Mutex<BTreeMap<u16, u64>>> = Arc::default();
     let traffic = {
-        let (out, over, burst) = (Arc::clone(&taken_out), Arc::clone(&is_over), Arc::clone(&is_burst));
+        let (out, over, burst) = (
+            Arc::clone(&taken_out),
+            Arc::clone(&is_over),
+            Arc::clone(&is_burst),
+        );
         let answers = Arc::clone(&answers);
         thread::spawn(move || {
             let mut sent = 0_u64;
             let mut next = Instant::now();
             while !over.load(Ordering::Relaxed) && sent < 3_000 {
-                next += if burst.load(Ordering::Relaxed) { BURST_GAP } else { USUAL_GAP };
+                next += if burst.load(Ordering::Relaxed) {
+                    BURST_GAP
+                } else {
+                    USUAL_GAP
+                };
                 thread::sleep(next.saturating_duration_since(Instant::now()));
-                let usable = if out.load(Ordering::Relaxed) { ENTRIES - 1 } else { ENTRIES };
+                let usable = if out.load(Ordering::Relaxed) {
+                    ENTRIES - 1
+                } else {
+                    ENTRIES
+                };
                 let front = fronts[sent as usize % usable];
                 sent += 1;
                 let id = format!("7a21d94b{sent:08x}");
@@ -1444,19 +1781,31 @@
     let sent = traffic.join().unwrap_or(0);
     record.line(format!("the traffic ends after {sent} jobs"));
     thread::sleep(Duration::from_secs(8));
-    record.line(format!("answers by status (0: none): {:?}", answers.lock().unwrap()));
+    record.line(format!(
+        "answers by status (0: none): {:?}",
+        answers.lock().unwrap()
+    ));
     let remaining = if has_trouble { ENTRIES - 1 } else { ENTRIES };
-    let before: Vec<u64> = bed.entries[..remaining].iter().map(Process::cpu_ms).collect();
+    let before: Vec<u64> = bed.entries[..remaining]
+        .iter()
+        .map(Process::cpu_ms)
+        .collect();
     let from = Instant::now();
     thread::sleep(Duration::from_secs(15));
     let mut is_broken = false;
     for (entry, before) in bed.entries[..remaining].iter().zip(before) {
         let passed_ms = from.elapsed().as_millis() as u64;
         let share = (entry.cpu_ms() - before) * 100 / passed_ms;
-        record.line(format!("{}: {share} percent of a core in {passed_ms} ms without any request", entry.name));
+        record.line(format!(
+            "{}: {share} percent of a core in {passed_ms} ms without any request",
+            entry.name
+        ));
         if share >= CPU_SHARE_PERCENT {
             is_broken = true;
-            record.line(format!("Fault: {} does not hand back the processor", entry.name));
+            record.line(format!(
+                "Fault: {} does not hand back the processor",
+                entry.name
+            ));
         }
     }
     Ok(is_broken)
@@ -1473,8 +1822,19 @@
 /// Three entries and eleven sides serve jobs whose tasks take some seconds. One worker drains, serves on, says that it
 /// leaves and ends, as in a planned end; its tasks end with it. `END_MS` in the environment sets another time for that.
 fn leaving(record: &Arc<Record>, has_trouble: bool) -> Result<bool, String> {
-    let end_ms = std::env::var("END_MS").ok().and_then(|text| text.parse().ok()).unwrap_or(END_MS);
-    let bed = Bed::start(Arc::clone(record), &["wdh-a", "wdh-b", "wdh-c"], 3, 11, 16_000, 1_600, false)?;
+    let end_ms = std::env::var("END_MS")
+        .ok()
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(END_MS);
+    let bed = Bed::start(
+        Arc::clone(record),
+        &["wdh-a", "wdh-b", "wdh-c"],
+        3,
+        11,
+        16_000,
+        1_600,
+        false,
+    )?;
     thread::sleep(Duration::from_secs(4));
     let worker = bed.workers[DRAINED].clone();
     let body = "{\"spec\":\"3600\",\"bestEffort\":true,\"steps\":[\
@@ -1484,14 +1844,18 @@
         thread::spawn(move || {
             let id = format!("1d94b36f8a7c{number:04x}");
             let reply = submit(front, "/pule252/", &id, body, 15_000);
-            let seen = reply.map_or("no answer".to_owned(), |reply| format!("{} {}", reply.status, reply.body));
+            let seen = reply.map_or("no answer".to_owned(), |reply| {
+                format!("{} {}", reply.status, reply.body)
+            });
             record.line(format!("client of {id}: POST answered {seen}"));
         })
     });
     let clients: Vec<_> = clients.collect();
     thread::sleep(Duration::from_millis(200));
     if has_trouble {
-        worker.leaves_ms.store(worker.clock_ms() + 3_000, Ordering::Relaxed);
+        worker
+            .leaves_ms
+            .store(worker.clock_ms() + 3_000, Ordering::Relaxed);
         let until = Instant::now() + Duration::from_secs(3);
         while worker.acknowledged_ms.load(Ordering::Relaxed) == 0 && Instant::now() < until {
             thread::sleep(Duration::from_millis(5));
@@ -1504,10 +1868,23 @@
         thread::sleep(Duration::from_millis(left));
         record.line(format!("{}: leaves", worker.id));
         let path = format!("/mastknot/instances/{}/leave", worker.id);
-        let born = worker.born.map_or(String::new(), |born| format!("{{\"born\":{born}}}"));
+        let born = worker
+            .born
+            .map_or(String::new(), |born| format!("{{\"born\":{born}}}"));
         let headers = [("Host", bed.control(DRAINED).to_string())];
-        let reply = call(bed.control(DRAINED), "POST", &path, &headers, &born, Duration::from_secs(4));
-        record.line(format!("{}: leave answered {}", worker.id, reply.map_or(0, |reply| reply.status)));
+        let reply = call(
+            bed.control(DRAINED),
+            "POST",
+            &path,
+            &headers,
+            &born,
+            Duration::from_secs(4),
+        );
+        record.line(format!(
+            "{}: leave answered {}",
+            worker.id,
+            reply.map_or(0, |reply| reply.status)
+        ));
         thread::sleep(Duration::from_millis(end_ms));
         worker.end();
         record.line(format!("{}: has ended", worker.id));
@@ -1516,7 +1893,9 @@
         let _ = client.join();
     }
     let seen = bed.seen.lock().unwrap().clone();
-    let has_run = seen.iter().any(|seen| seen.what == "start" && seen.worker == worker.id);
+    let has_run = seen
+        .iter()
+        .any(|seen| seen.what == "start" && seen.worker == worker.id);
     if !has_run {
         return Err("nothing ran on the worker that leaves".to_owned());
     }
@@ -1528,7 +1907,15 @@
 /// Two entries and three sides serve short jobs. One heartbeat of another writer reaches a side. Later the worker there
 /// drains, serves on and leaves, as in a planned end.
 fn foreign_heartbeat(record: &Arc<Record>, has_trouble: bool) -> Result<bool, String> {
-    let bed = Bed::start(Arc::clone(record), &["wdh-a", "wdh-b"], 2, 3, 16_000, 1_600, false)?;
+    let bed = Bed::start(
+        Arc::clone(record),
+        &["wdh-a", "wdh-b"],
+        2,
+        3,
+        16_000,
+        1_600,
+        false,
+    )?;
     thread::sleep(Duration::from_secs(4));
     let is_over = Arc::new(AtomicBool::new(false));
     let fronts = [bed.front(0), bed.front(1)];
@@ -1543,7 +1930,9 @@
                         {\"count\":6,\"cpu\":1600,\"memMb\":64,\"estRuntimeMs\":100}]}";
             let id = format!("94b36f8a{number:08x}");
             let reply = submit(fronts[number as usize % 2], "/lohu930/", &id, body, 1_500);
-            *answers.entry(reply.map_or(0, |reply| reply.status)).or_default() += 1;
+            *answers
+                .entry(reply.map_or(0, |reply| reply.status))
+                .or_default() += 1;
             thread::sleep(Duration::from_millis(20));
         }
         answers
@@ -1553,14 +1942,26 @@
     if has_trouble {
         // `version` is a number in place of a text, and `clockMs` is missing.
         let whole = worker.heartbeat(bed.zone(DRAINED), 0, "\"ready\"", 900_000);
-        let clock = format!("\"clockMs\":{},", Json::parse(whole.as_bytes()).and_then(|body| body.get("clockMs").number()).unwrap_or(0));
-        let body = whole.replace("\"version\":\"v1\"", "\"version\":7").replace(&clock, "");
+        let clock = format!(
+            "\"clockMs\":{},",
+            Json::parse(whole.as_bytes())
+                .and_then(|body| body.get("clockMs").number())
+                .unwrap_or(0)
+        );
+        let body = whole
+            .replace("\"version\":\"v1\"", "\"version\":7")
+            .replace(&clock, "");
         let reply = worker.send_heartbeat(bed.control(DRAINED), &body);
         let status = reply.map_or("no answer".to_owned(), |reply| reply.status.to_string());
-        record.line(format!("another writer: heartbeat for {} answered {status}: {body}", worker.id));
+        record.line(format!(
+            "another writer: heartbeat for {} answered {status}: {body}",
+            worker.id
+        ));
     }
     thread::sleep(Duration::from_secs(2));
-    worker.leaves_ms.store(worker.clock_ms() + 7_000, Ordering::Relaxed);
+    worker
+        .leaves_ms
+        .store(worker.clock_ms() + 7_000, Ordering::Relaxed);
     record.line(format!("{}: drains from its next heartbeat on", worker.id));
     let until = Instant::now() + Duration::from_secs(4);
     while worker.acknowledged_ms.load(Ordering::Relaxed) == 0 && Instant::now() < until {
@@ -1576,14 +1977,19 @@
     record.line(format!("answers by status (0: none): {answers:?}"));
     let seen = bed.seen.lock().unwrap().clone();
     let starts = |from_ms: u64| {
-        let of_worker = seen.iter().filter(|seen| seen.what == "start" && seen.worker == worker.id);
+        let of_worker = seen
+            .iter()
+            .filter(|seen| seen.what == "start" && seen.worker == worker.id);
         of_worker.filter(|seen| seen.at_ms > from_ms).count()
     };
     if starts(0) == 0 {
         return Err("the worker had no work".to_owned());
     }
     let late = starts(acknowledged_ms + DRAIN_MS);
-    record.line(format!("{late} starts on {} later than drainMs after the acknowledgement", worker.id));
+    record.line(format!(
+        "{late} starts on {} later than drainMs after the acknowledgement",
+        worker.id
+    ));
     if late > 0 {
         record.line("DRAIN: tasks are started on the draining worker");
     }
@@ -1603,7 +2009,10 @@
         eprintln!("the record can't be written");
         std::process::exit(2);
     };
-    let record = Arc::new(Record { started: Instant::now(), file: Mutex::new(file) });
+    let record = Arc::new(Record {
+        started: Instant::now(),
+        file: Mutex::new(file),
+    });
     record.line(format!("case {case}, trouble {has_trouble}"));
     let result = match case.as_str() {
         "cancels" => cancels(&record, has_trouble),
