--- a/review/standins-2/bed.rs
+++ b/review/standins-2/bed.rs
@@ -5,6 +5,8 @@
 use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 use crate::http::call;
@@ -46,7 +48,6 @@
     }
 
     /// Sends a signal to the process, by its id.
-    #[allow(dead_code)]
     pub fn signal(&self, name: &str) {
         let id = self.child.id().to_string();
         let _ = Command::new("kill").args([name, id.as_str()]).status();
@@ -122,6 +123,8 @@
     pub entries: Vec<Process>,
     pub sides: Vec<Process>,
     pub workers: Vec<Worker>,
+    /// Switch that closes the store's first address.
+    store_closed: Arc<AtomicBool>,
     net: [u8; 2],
 }
 
@@ -129,8 +132,10 @@
     /// Starts all machines; logs and settings go into `folder`.
     pub fn start(plan: &BedPlan, folder: &Path, record: &Record) -> std::io::Result<Self> {
         let net = free_net()?;
-        let store = Store::start(at(net, 1, STORE_PORT))?;
-        let mut bed = Self { store, entries: Vec::new(), sides: Vec::new(), workers: Vec::new(), net };
+        let store = Store::default();
+        let store_closed = store.serve_at(at(net, 1, STORE_PORT))?;
+        let (entries, sides, workers) = (Vec::new(), Vec::new(), Vec::new());
+        let mut bed = Self { store, entries, sides, workers, store_closed, net };
         for (number, zone) in plan.sides.iter().enumerate() {
             let host = 20 + number as u8;
             let name = format!("side-{zone}-{number}");
@@ -195,6 +200,23 @@
         )
     }
 
+    /// Serves the store at a second address and writes it into all settings files, which SIGHUP tells all processes.
+    pub fn move_store(&self) -> std::io::Result<SocketAddr> {
+        let (from, to) = (at(self.net, 1, STORE_PORT), at(self.net, 2, STORE_PORT));
+        self.store.serve_at(to)?;
+        for process in self.entries.iter().chain(&self.sides) {
+            let text = std::fs::read_to_string(&process.settings)?;
+            std::fs::write(&process.settings, text.replace(&from.to_string(), &to.to_string()))?;
+            process.signal("-HUP");
+        }
+        Ok(to)
+    }
+
+    /// Closes the first address of the store.
+    pub fn close_first_store_address(&self) {
+        self.store_closed.store(true, Ordering::SeqCst);
+    }
+
     pub fn front(&self, entry: usize) -> SocketAddr {
         at(self.net, 10 + entry as u8, FRONT_PORT)
     }
@@ -232,7 +254,7 @@
     let ports = [LINK_PORT, FRONT_PORT, APP_PORT, CONTROL_PORT, READY_PORT, STORE_PORT, METRICS_PORT];
     for offset in 0..50 {
         let net = [40 + (process % 150) as u8, (process / 150 + offset) as u8];
-        let hosts = [1, 10, 11, 12, 13, 20, 21, 22, 23, 24, 25];
+        let hosts = [1, 2, 10, 11, 12, 13, 20, 21, 22, 23, 24, 25];
         let mut all = hosts.iter().flat_map(|host| ports.map(|port| at(net, *host, port)));
         if all.all(|address| TcpListener::bind(address).is_ok()) {
             return Ok(net);
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -7,6 +7,7 @@
 mod evacuation;
 mod http;
 mod json;
+mod moved_store;
 mod record;
 mod store;
 mod worker;
@@ -36,6 +37,7 @@
     let case = Case { record, folder: temporary.clone(), has_trouble };
     let outcome = match name {
         "dropped-route" => dropped_route::run(&case),
+        "moved-store" => moved_store::run(&case),
         "evacuation" => evacuation::run(&case),
         _ => Err(format!("no case {name}")),
     };
--- a/review/standins-2/store.rs
+++ b/review/standins-2/store.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::net::{SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
 
@@ -34,26 +35,29 @@
     next_lease: u64,
 }
 
+#[derive(Default)]
 struct Shared {
     state: Mutex<State>,
     changed: Condvar,
 }
 
-#[derive(Clone)]
+#[derive(Clone, Default)]
 pub struct Store {
     shared: Arc<Shared>,
 }
 
 impl Store {
-    /// Serves a store at an address.
-    pub fn start(address: SocketAddr) -> std::io::Result<Self> {
+    /// Serves the store at an address, until the returned switch is set.
+    pub fn serve_at(&self, address: SocketAddr) -> std::io::Result<Arc<AtomicBool>> {
         let listener = TcpListener::bind(address)?;
-        let state = Mutex::new(State::default());
-        let shared = Arc::new(Shared { state, changed: Condvar::new() });
-        let store = Self { shared };
-        let served = store.clone();
-        serve(listener, move |request| served.handle(&request));
-        Ok(store)
+        let is_closed = Arc::new(AtomicBool::new(false));
+        let (served, closed) = (self.clone(), Arc::clone(&is_closed));
+        serve(listener, move |request| {
+            let answer = served.handle(&request);
+            // A closed address answers nothing: its connections break.
+            if closed.load(Ordering::SeqCst) { None } else { answer }
+        });
+        Ok(is_closed)
     }
 
     /// Writes and removes keys in one transaction, as the operator does. Returns its revision.
