--- a/review/standins-2/bed.rs
+++ b/review/standins-2/bed.rs
@@ -217,6 +217,11 @@
         self.store_closed.store(true, Ordering::SeqCst);
     }
 
+    /// Returns the address at which a side takes heartbeats.
+    pub fn control(&self, side: usize) -> SocketAddr {
+        at(self.net, 20 + side as u8, CONTROL_PORT)
+    }
+
     pub fn front(&self, entry: usize) -> SocketAddr {
         at(self.net, 10 + entry as u8, FRONT_PORT)
     }
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -8,6 +8,7 @@
 mod http;
 mod json;
 mod moved_store;
+mod other_writer;
 mod record;
 mod store;
 mod worker;
@@ -38,6 +39,7 @@
     let outcome = match name {
         "dropped-route" => dropped_route::run(&case),
         "moved-store" => moved_store::run(&case),
+        "other-writer" => other_writer::run(&case),
         "evacuation" => evacuation::run(&case),
         _ => Err(format!("no case {name}")),
     };
--- a/review/standins-2/worker.rs
+++ b/review/standins-2/worker.rs
@@ -63,6 +63,9 @@
     finished: Vec<(u64, String, u64, &'static str)>,
     next_end: u64,
     next_beat: u64,
+    is_draining: bool,
+    /// Times at which heartbeats that said `draining` were acknowledged.
+    drains_taken: Vec<Instant>,
     runs: Vec<Run>,
     is_over: bool,
 }
@@ -93,6 +96,8 @@
             finished: Vec::new(),
             next_end: 1,
             next_beat: 1,
+            is_draining: false,
+            drains_taken: Vec::new(),
             runs: Vec::new(),
             is_over: false,
         };
@@ -108,6 +113,22 @@
         Ok(worker)
     }
 
+    /// Makes the worker say that it leaves, with its next heartbeats. It serves on.
+    pub fn drain(&self) {
+        self.shared.state.lock().expect("worker").is_draining = true;
+    }
+
+    /// Returns the time at which a heartbeat that said `draining` was first acknowledged.
+    pub fn drain_taken(&self) -> Option<Instant> {
+        self.shared.state.lock().expect("worker").drains_taken.first().copied()
+    }
+
+    /// Returns the name and the start of the worker, and the number of its last heartbeat.
+    pub fn identity(&self) -> (String, u64, u64) {
+        let state = self.shared.state.lock().expect("worker");
+        (self.shared.plan.id.clone(), state.born, state.next_beat - 1)
+    }
+
     /// Returns all runs so far.
     pub fn runs(&self) -> Vec<Run> {
         let mut state = self.shared.state.lock().expect("worker");
@@ -128,6 +149,8 @@
                 ("memMb", Json::number(plan.mem_mb)),
                 ("gpu", Json::number(0)),
             ]);
+            let is_draining = state.is_draining;
+            let said = if is_draining { "draining" } else { "ready" };
             let labels = plan.labels.iter().map(Json::text).collect();
             let body = Json::object(&[
                 ("service", Json::text(plan.service.clone())),
@@ -135,13 +158,15 @@
                 ("zone", Json::text(plan.zone.clone())),
                 ("version", Json::text("v1")),
                 ("slots", Json::number(8)),
-                ("state", Json::text("ready")),
+                ("state", Json::text(said)),
                 ("coldLeftMs", Json::number(0)),
                 ("capacity", capacity),
                 ("labels", Json::List(labels)),
                 ("clockMs", Json::number(state.clock_ms())),
                 ("seqNo", Json::number(state.next_beat)),
                 ("born", Json::number(state.born)),
+                // The least time that is left; the worker of this test stays longer than its test.
+                ("remainingMs", Json::number(20_000)),
             ]);
             state.next_beat += 1;
             drop(state);
@@ -150,6 +175,12 @@
             let reply = call(plan.control, "POST", &path, &[], &body.to_string(), limit);
             // A side that is not up yet gets the next heartbeat soon.
             let is_taken = reply.is_some_and(|(status, _)| status / 100 == 2);
+            if is_draining {
+                self.shared.record.line(&format!("{} says draining, acknowledged: {is_taken}", plan.id));
+            }
+            if is_draining && is_taken {
+                self.shared.state.lock().expect("worker").drains_taken.push(Instant::now());
+            }
             std::thread::sleep(if is_taken { HEARTBEAT } else { Duration::from_millis(200) });
         }
     }
