--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-exec rustc --edition 2024 -O -o target/review-2/standins review/standins-2/main.rs
+exec rustc --edition 2024 -O -o target/review-2/standins review/standins-2.rs
--- a/review/standins-2/main.rs
+++ b/review/standins-2.rs
@@ -1,16 +1,27 @@
 //! Stand-ins and tests of the second review: `standins CASE FOLDER`, started by `review/N/run.sh` at the root of the
 //! repository. Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 
+#[path = "standins-2-bed.rs"]
 mod bed;
+#[path = "standins-2-clients.rs"]
 mod clients;
+#[path = "standins-2-dropped-route.rs"]
 mod dropped_route;
+#[path = "standins-2-evacuation.rs"]
 mod evacuation;
+#[path = "standins-2-http.rs"]
 mod http;
+#[path = "standins-2-json.rs"]
 mod json;
+#[path = "standins-2-moved-store.rs"]
 mod moved_store;
+#[path = "standins-2-other-writer.rs"]
 mod other_writer;
+#[path = "standins-2-record.rs"]
 mod record;
+#[path = "standins-2-store.rs"]
 mod store;
+#[path = "standins-2-worker.rs"]
 mod worker;
 
 use std::path::{Path, PathBuf};
