fix(http): the configuration's limits of heads and rests are in force, on open connections too

Callers saw: a head of 200,000 bytes served where 16,384 are allowed, a head served that took 4 s (3 s), a connection closed after a rest of 6 s (15 s are allowed), and connections that say nothing open for ever.

Cause: of the configuration's four limits the product read that of bodies alone. A constant of 5 s stood for head and rest together, and what looked whether a connection speaks h2 waited for its first bytes without any bound.

Change: a connection knows what it waits for (rest, head, answer), and each of these has its limit, read when it is judged. The stream hands no more bytes of a head to the parser than a head may have; the size of one of which a part came with the request before is worked out from its parts. 431, 408 and a closed connection after a rest are counted and logged (mastknot_http_closed{listener,reason}; a line at 1, 2, 4, 8 .. of a reason). A refused caller that still sends is read from for up to a second, so that it sees the refusal and no reset.

--- /dev/null
+++ b/crates/mastknot_runtime/src/http/limits.rs
@@ -0,0 +1,54 @@
+use std::time::Duration;
+
+use tokio::sync::watch;
+
+use super::HttpCounts;
+
+/// Largest head that any limit allows, in bytes. Larger limits are clamped to it.
+pub(super) const MAX_HEAD_BYTES: usize = 1_048_576;
+/// Limit of heads, in bytes, where nobody states one.
+const DEFAULT_HEAD_BYTES: usize = 16_384;
+/// Time for a head where nobody states one.
+const DEFAULT_HEAD_TIME: Duration = Duration::from_secs(5);
+/// Longest rest of a connection where nobody states one: longer than clients keep unused connections.
+const DEFAULT_IDLE_TIME: Duration = Duration::from_secs(60);
+
+/// Limits of the requests on one connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RequestLimits {
+    /// Maximum size of the head of a request, in bytes.
+    pub head_bytes: usize,
+    /// Maximum time from the first byte of a head to its last.
+    pub head_time: Duration,
+    /// Maximum time for which a connection may rest without a request.
+    pub idle_time: Duration,
+}
+
+impl Default for RequestLimits {
+    fn default() -> Self {
+        Self {
+            head_bytes: DEFAULT_HEAD_BYTES,
+            head_time: DEFAULT_HEAD_TIME,
+            idle_time: DEFAULT_IDLE_TIME,
+        }
+    }
+}
+
+/// Limits of all connections of one listener.
+#[derive(Clone, Debug)]
+pub struct ServerLimits {
+    /// Limits of the requests. A new value is in force at once, on open connections too.
+    pub requests: watch::Receiver<RequestLimits>,
+    /// Counts of requests that were refused and connections that were closed.
+    pub counts: HttpCounts,
+}
+
+impl Default for ServerLimits {
+    fn default() -> Self {
+        let (_, requests) = watch::channel(RequestLimits::default());
+        Self {
+            requests,
+            counts: HttpCounts::default(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/mastknot_runtime/src/http/metered_stream.rs
@@ -0,0 +1,97 @@
+use std::io::{Error, ErrorKind, IoSlice};
+use std::pin::Pin;
+use std::task::{Context, Poll, ready};
+
+use hyper::rt::{Read, ReadBufCursor, Write};
+use tokio::io::AsyncWrite;
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+
+use super::RequestLimits;
+use super::request_account::RequestAccount;
+
+/// Maximum number of bytes of one read.
+pub(super) const READ_BYTES: usize = 4_096;
+
+/// Stream of one connection whose reads are limited while a head arrives, to the size that a head may have.
+pub(super) struct MeteredStream {
+    pub(super) stream: TcpStream,
+    account: RequestAccount,
+    limits: watch::Receiver<RequestLimits>,
+}
+
+impl MeteredStream {
+    pub(super) fn new(
+        stream: TcpStream,
+        account: RequestAccount,
+        limits: watch::Receiver<RequestLimits>,
+    ) -> Self {
+        Self {
+            stream,
+            account,
+            limits,
+        }
+    }
+}
+
+impl Read for MeteredStream {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        mut buffer: ReadBufCursor<'_>,
+    ) -> Poll<Result<(), Error>> {
+        let this = self.get_mut();
+        let mut part = [0; READ_BYTES];
+        loop {
+            ready!(this.stream.poll_read_ready(cx))?;
+            let allowed = this.account.state.allowed_read(&this.limits.borrow());
+            let Some(allowed) = allowed else {
+                return Poll::Ready(Err(Error::other("the head is longer than allowed")));
+            };
+            let most = READ_BYTES.min(allowed).min(buffer.remaining());
+            match this.stream.try_read(&mut part[..most]) {
+                Ok(read) => {
+                    if read == 0 {
+                        this.account.state.record_peer_end();
+                        return Poll::Ready(Ok(()));
+                    }
+                    this.account.state.record_read(read);
+                    buffer.put_slice(&part[..read]);
+                    return Poll::Ready(Ok(()));
+                }
+                Err(error) if error.kind() == ErrorKind::WouldBlock => {}
+                Err(error) => return Poll::Ready(Err(error)),
+            }
+        }
+    }
+}
+
+impl Write for MeteredStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<Result<usize, Error>> {
+        Pin::new(&mut self.stream).poll_write(cx, bytes)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Result<(), Error>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Result<(), Error>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        slices: &[IoSlice<'_>],
+    ) -> Poll<Result<usize, Error>> {
+        Pin::new(&mut self.stream).poll_write_vectored(cx, slices)
+    }
+}
--- a/crates/mastknot_runtime/src/http/server.rs
+++ b/crates/mastknot_runtime/src/http/server.rs
@@ -1,4 +1,3 @@
-use std::convert::Infallible;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -6,60 +5,22 @@
 
 use http::{Request, Response};
 use hyper::body::Incoming;
-use hyper::service::service_fn;
-use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
-use hyper_util::server::conn::auto;
-use hyper_util::server::graceful::GracefulShutdown;
 use log::debug;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Semaphore, oneshot};
+use tokio::sync::{Semaphore, mpsc, oneshot, watch};
 use tokio::task::JoinHandle;
 
-use super::{ResponseBody, set_up_accepted};
+use super::connection::{ConnectionParts, serve_connection};
+use super::connection_state::ConnectionState;
+use super::request_account::RequestAccount;
+use super::{ResponseBody, ServerLimits, set_up_accepted};
 
-/// Maximum time in which a connection has to send the head of a request.
-const HEADER_TIMEOUT: Duration = Duration::from_secs(5);
+/// Pause after the operating system failed to accept a connection.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 /// Maximum number of open connections of one listener.
 const MAX_CONNECTIONS: usize = 4_096;
 
-/// Path segments and query parameters of a request.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct RequestParts {
-    /// Segments of the path, without empty ones.
-    pub path: Vec<String>,
-    /// Names and values of the query parameters.
-    pub query: Vec<(String, String)>,
-}
-
-impl RequestParts {
-    /// Splits a URI.
-    pub fn of(uri: &http::Uri) -> Self {
-        let path = uri.path().split('/').filter(|part| !part.is_empty());
-        let query = uri.query().unwrap_or_default();
-        let pairs = query.split('&').filter(|pair| !pair.is_empty());
-        let pair = |text: &str| {
-            let (name, value) = text.split_once('=').unwrap_or((text, ""));
-            (name.to_owned(), value.to_owned())
-        };
-        Self {
-            path: path.map(str::to_owned).collect(),
-            query: pairs.map(pair).collect(),
-        }
-    }
-
-    /// Returns the value of the first query parameter with a name.
-    pub fn query(&self, name: &str) -> Option<&str> {
-        let found = self.query.iter().find(|(other, _)| other == name);
-        found.map(|(_, value)| value.as_str())
-    }
-
-    /// Returns the path segments as string slices, for matching.
-    pub fn segments(&self) -> Vec<&str> {
-        self.path.iter().map(String::as_str).collect()
-    }
-}
-
-/// An HTTP/1.1 and h2 server on one listener.
+/// An HTTP/1.1 server on one listener.
 #[derive(Debug)]
 pub struct HttpServer {
     address: SocketAddr,
@@ -68,17 +29,37 @@
 }
 
 impl HttpServer {
-    /// Starts a server that answers every request on `listener` with `handler`.
+    /// Starts a server that answers every request on `listener` with `handler`, with the usual limits.
     ///
     /// Fails if the address of the listener can't be read.
     pub fn start<H, F>(listener: TcpListener, handler: H) -> std::io::Result<Self>
+    where
+        H: Fn(Request<Incoming>) -> F + Send + Sync + 'static,
+        F: Future<Output = Response<ResponseBody>> + Send + 'static,
+    {
+        Self::start_with(listener, ServerLimits::default(), handler)
+    }
+
+    /// Starts a server with other limits.
+    ///
+    /// Fails if the address of the listener can't be read.
+    pub fn start_with<H, F>(
+        listener: TcpListener,
+        limits: ServerLimits,
+        handler: H,
+    ) -> std::io::Result<Self>
     where
         H: Fn(Request<Incoming>) -> F + Send + Sync + 'static,
         F: Future<Output = Response<ResponseBody>> + Send + 'static,
     {
         let address = listener.local_addr()?;
         let (stop, stopped) = oneshot::channel();
-        let task = tokio::spawn(serve(listener, Arc::new(handler), stopped));
+        let server = Server {
+            places: Arc::new(Semaphore::new(MAX_CONNECTIONS)),
+            limits,
+            handler: Arc::new(handler),
+        };
+        let task = tokio::spawn(server.serve(listener, stopped));
         Ok(Self {
             address,
             stop: Some(stop),
@@ -105,64 +86,67 @@
     }
 }
 
-async fn serve<H, F>(listener: TcpListener, handler: Arc<H>, mut stopped: oneshot::Receiver<()>)
-where
-    H: Fn(Request<Incoming>) -> F + Send + Sync + 'static,
-    F: Future<Output = Response<ResponseBody>> + Send + 'static,
-{
-    let graceful = GracefulShutdown::new();
-    let slots = Arc::new(Semaphore::new(MAX_CONNECTIONS));
-    loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            _ = &mut stopped => break,
-        };
-        let Ok((stream, _)) = accepted else {
-            // The usual cause is too many open files, so wait for other connections to close.
-            tokio::time::sleep(Duration::from_millis(10)).await;
-            continue;
-        };
-        let Ok(slot) = Arc::clone(&slots).try_acquire_owned() else {
-            continue;
-        };
-        let connection = serve_connection(stream, Arc::clone(&handler), &graceful);
-        tokio::spawn(async move {
-            connection.await;
-            drop(slot);
-        });
-    }
-    drop(listener);
-    graceful.shutdown().await;
+struct Server<H> {
+    places: Arc<Semaphore>,
+    limits: ServerLimits,
+    handler: Arc<H>,
 }
 
-fn serve_connection<H, F>(
-    stream: TcpStream,
-    handler: Arc<H>,
-    graceful: &GracefulShutdown,
-) -> impl Future<Output = ()> + Send + 'static
+impl<H, F> Server<H>
 where
     H: Fn(Request<Incoming>) -> F + Send + Sync + 'static,
     F: Future<Output = Response<ResponseBody>> + Send + 'static,
 {
-    if let Err(error) = set_up_accepted(&stream) {
-        debug!(error:%; "socket options of an accepted connection not set");
+    async fn serve(self, listener: TcpListener, mut stopped: oneshot::Receiver<()>) {
+        let (stopping, is_stopping) = watch::channel(false);
+        let (running, mut all_ended) = mpsc::channel::<()>(1);
+        loop {
+            let accepted = tokio::select! {
+                accepted = listener.accept() => accepted,
+                _ = &mut stopped => break,
+            };
+            let Ok((stream, _)) = accepted else {
+                // The usual cause is too many open files, so wait for other connections to close.
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            };
+            if let Some(connection) = self.admit(stream, is_stopping.clone()) {
+                let running = running.clone();
+                tokio::spawn(async move {
+                    connection.await;
+                    drop(running);
+                });
+            }
+        }
+        drop(listener);
+        stopping.send_replace(true);
+        drop(running);
+        // Nothing is sent: the channel closes with the last connection.
+        let _ = all_ended.recv().await;
     }
-    let watcher = graceful.watcher();
-    async move {
-        let service = service_fn(move |request| {
-            let response = handler(request);
-            async move { Ok::<_, Infallible>(response.await) }
-        });
-        let mut builder = auto::Builder::new(TokioExecutor::new());
-        builder
-            .http1()
-            .timer(TokioTimer::new())
-            .header_read_timeout(HEADER_TIMEOUT);
-        builder.http2().timer(TokioTimer::new());
-        let connection = builder
-            .serve_connection(TokioIo::new(stream), service)
-            .into_owned();
-        // A connection that fails does not affect others, so its error is ignored.
-        let _ = watcher.watch(connection).await;
+
+    /// Gives an accepted connection a place and returns the future that serves it; `None` if there is no place.
+    fn admit(
+        &self,
+        stream: TcpStream,
+        stopping: watch::Receiver<bool>,
+    ) -> Option<impl Future<Output = ()> + Send + 'static> {
+        if let Err(error) = set_up_accepted(&stream) {
+            debug!(error:%; "socket options of an accepted connection not set");
+        }
+        let place = Arc::clone(&self.places).try_acquire_owned().ok()?;
+        let parts = ConnectionParts {
+            account: RequestAccount {
+                counts: self.limits.counts.clone(),
+                state: Arc::new(ConnectionState::new()),
+            },
+            limits: self.limits.requests.clone(),
+            stopping,
+        };
+        let served = serve_connection(stream, parts, Arc::clone(&self.handler));
+        Some(async move {
+            served.await;
+            drop(place);
+        })
     }
 }
