--- a/crates/mastknot_runtime/src/http/connection.rs
+++ b/crates/mastknot_runtime/src/http/connection.rs
@@ -18,9 +18,9 @@
 use super::deadline::Deadline;
 use super::limits::MAX_HEAD_BYTES;
 use super::metered_stream::MeteredStream;
-use super::refusal::{HEAD_TOO_LONG, HEAD_TOO_SLOW, linger, send};
-use super::request_account::RequestAccount;
-use super::{CloseReason, RequestLimits, ResponseBody, empty_response};
+use super::refusal::{HEAD_TOO_LONG, HEAD_TOO_SLOW, NO_ROOM, OVERDUE, linger, send};
+use super::request_account::ConnectionPlace;
+use super::{CloseReason, RequestAccount, RequestLimits, ResponseBody, empty_response};
 
 /// Bytes of a request line or a header beside its own text.
 const REQUEST_LINE_EXTRA: usize = "  HTTP/1.1\r\n".len();
@@ -41,11 +41,11 @@
     Over,
     /// A time limit of the connection is over in this phase.
     Expired(Phase),
-    /// The server stops, and nothing has arrived.
-    Stopping,
+    /// The connection has to make room for others in this phase.
+    Evicted(Phase),
 }
 
-/// Serves one connection to its end.
+/// Serves one connection to its end, and ends it so that its caller sees a refusal.
 pub(super) async fn serve_connection<H, F>(
     stream: TcpStream,
     parts: ConnectionParts,
@@ -53,45 +53,13 @@
 ) where
     H: Fn(Request<Incoming>) -> F + Send + Sync + 'static,
     F: Future<Output = Response<ResponseBody>> + Send + 'static,
-{
-    let account = parts.account.clone();
-    let (limits, stopping) = (parts.limits.clone(), parts.stopping.clone());
-    if let Some(end) = wait_for_first_byte(&stream, &account.state, limits, stopping).await {
-        record_end(&account, &end);
-    } else {
-        // Boxed, so that a connection that says nothing takes little memory.
-        Box::pin(serve_requests(stream, parts, handler)).await;
-    }
-}
-
-/// Waits until something arrives. Returns `None` then, and otherwise why the connection ends.
-async fn wait_for_first_byte(
-    stream: &TcpStream,
-    state: &Arc<ConnectionState>,
-    limits: watch::Receiver<RequestLimits>,
-    mut stopping: watch::Receiver<bool>,
-) -> Option<End> {
-    let mut deadline = Deadline::new(Arc::clone(state), limits);
-    // What has arrived is served, whatever else has come about meanwhile.
-    tokio::select! {
-        biased;
-        _ = stream.readable() => None,
-        _ = stopping.wait_for(|is_stopping| *is_stopping) => Some(End::Stopping),
-        () = poll_fn(|cx| deadline.poll_expired(cx)) => Some(End::Expired(Phase::Resting)),
-    }
-}
-
-/// Serves the requests of a connection, and ends it so that its caller sees a refusal.
-async fn serve_requests<H, F>(stream: TcpStream, parts: ConnectionParts, handler: Arc<H>)
-where
-    H: Fn(Request<Incoming>) -> F + Send + Sync + 'static,
-    F: Future<Output = Response<ResponseBody>> + Send + 'static,
 {
     let ConnectionParts {
         account,
         limits,
         stopping,
     } = parts;
+    let _place = ConnectionPlace(account.clone());
     let served = (account.clone(), limits.clone());
     let service = service_fn(move |request| {
         let (account, limits) = served.clone();
@@ -119,7 +87,7 @@
     finish(connection.into_parts().io, &account, &end).await;
 }
 
-/// Runs a connection until it is over by the protocol or by its limits. When the server stops, the
+/// Runs a connection until it is over by the protocol, by its limits or for others. When the server stops, the
 /// connection ends after the request in flight.
 async fn run<S>(
     connection: &mut http1::Connection<MeteredStream, S>,
@@ -134,9 +102,15 @@
 {
     let state = &account.state;
     let mut deadline = Deadline::new(Arc::clone(state), limits);
+    let mut evicted = pin!(state.wait_evicted());
     let mut stopped = pin!(stopping.wait_for(|is_stopping| *is_stopping));
-    let mut is_stopping = false;
+    let (mut is_evicted, mut is_stopping) = (false, false);
     poll_fn(|cx| {
+        is_evicted = is_evicted || evicted.as_mut().poll(cx).is_ready();
+        let phase = state.phase();
+        if is_evicted && phase != Phase::Closing {
+            return Poll::Ready(End::Evicted(phase));
+        }
         if connection.poll_without_shutdown(cx).is_ready() {
             return Poll::Ready(End::Over);
         }
@@ -147,8 +121,9 @@
                 return Poll::Ready(End::Over);
             }
         }
-        let phase = state.phase();
-        deadline.poll_expired(cx).map(|()| End::Expired(phase))
+        deadline
+            .poll_expired(cx)
+            .map(|()| End::Expired(state.phase()))
     })
     .await
 }
@@ -161,9 +136,14 @@
     if let Some(answer) = answer {
         send(&stream, answer);
     }
+    // A connection that makes room for others goes at once.
     if answer.is_some() || state.is_cut_short() {
         state.start_closing();
-        Box::pin(linger(stream)).await;
+        tokio::select! {
+            biased;
+            () = state.wait_evicted() => {}
+            () = Box::pin(linger(stream)) => {}
+        }
     }
 }
 
@@ -172,7 +152,7 @@
         End::Expired(Phase::Head) => account.record(CloseReason::HeadTooSlow),
         End::Expired(Phase::Resting) => account.record(CloseReason::Idle),
         End::Over if account.state.is_head_too_long() => account.record(CloseReason::HeadTooLong),
-        End::Over | End::Expired(_) | End::Stopping => {}
+        End::Over | End::Expired(_) | End::Evicted(_) => {}
     }
 }
 
@@ -183,13 +163,15 @@
             Some(HEAD_TOO_LONG)
         }
         End::Expired(Phase::Head) => Some(HEAD_TOO_SLOW),
-        End::Over | End::Expired(_) | End::Stopping => None,
+        End::Evicted(Phase::Resting | Phase::Head) => Some(NO_ROOM),
+        End::Evicted(Phase::Answer) => Some(OVERDUE),
+        End::Over | End::Expired(_) | End::Evicted(_) => None,
     }
 }
 
 /// Answers one request, and records its course.
 async fn handle<H, F>(
-    request: Request<Incoming>,
+    mut request: Request<Incoming>,
     account: RequestAccount,
     handler: &H,
 ) -> Response<TrackedBody>
@@ -197,8 +179,10 @@
     H: Fn(Request<Incoming>) -> F,
     F: Future<Output = Response<ResponseBody>>,
 {
+    let state = Arc::clone(&account.state);
+    request.extensions_mut().insert(account);
     let response = handler(request).await;
-    response.map(|body| TrackedBody::new(body, account.state))
+    response.map(|body| TrackedBody::new(body, state))
 }
 
 /// Answers a request whose head is longer than allowed.
--- a/crates/mastknot_runtime/src/http/connection_state.rs
+++ b/crates/mastknot_runtime/src/http/connection_state.rs
@@ -1,6 +1,7 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use tokio::sync::Notify;
 use tokio::time::Instant;
 
 use super::RequestLimits;
@@ -24,10 +25,12 @@
     Closing,
 }
 
-/// State of one connection, shared by its task, its stream and its requests.
+/// State of one connection, shared by its task, its handlers and the table of connections.
 #[derive(Debug)]
 pub(super) struct ConnectionState {
+    id: u64,
     inner: Mutex<Inner>,
+    evicted: Notify,
 }
 
 #[derive(Debug)]
@@ -37,29 +40,76 @@
     head_bytes: usize,
     /// Whether a part of the next head may have arrived with the request before.
     may_have_buffered_head: bool,
+    /// When the connection may be closed for others although its head has arrived whole.
+    may_end_from: Option<Instant>,
+    is_evicted: bool,
     is_head_too_long: bool,
     is_ended_by_peer: bool,
 }
 
 impl ConnectionState {
-    pub(super) fn new() -> Self {
+    pub(super) fn new(id: u64) -> Self {
         let inner = Inner {
             phase: Phase::Resting,
             since: now(),
             head_bytes: 0,
             may_have_buffered_head: false,
+            may_end_from: None,
+            is_evicted: false,
             is_head_too_long: false,
             is_ended_by_peer: false,
         };
         Self {
+            id,
             inner: Mutex::new(inner),
+            evicted: Notify::new(),
         }
     }
 
+    pub(super) fn id(&self) -> u64 {
+        self.id
+    }
+
     pub(super) fn phase(&self) -> Phase {
         self.lock().phase
     }
 
+    /// Waits until this connection has to make room for others.
+    pub(super) async fn wait_evicted(&self) {
+        loop {
+            // A notification between the check and the wait must not be lost.
+            let notified = self.evicted.notified();
+            if self.is_evicted() {
+                return;
+            }
+            notified.await;
+        }
+    }
+
+    pub(super) fn is_evicted(&self) -> bool {
+        self.lock().is_evicted
+    }
+
+    /// Returns since when the connection may be closed for others, if it may be.
+    pub(super) fn may_end_since(&self, at: Instant) -> Option<Instant> {
+        let inner = self.lock();
+        match inner.phase {
+            Phase::Answer => inner.may_end_from.filter(|from| *from <= at),
+            Phase::Resting | Phase::Head | Phase::Closing => Some(inner.since),
+        }
+    }
+
+    /// Allows to close the connection for others from a time on, although its head has arrived whole.
+    pub(super) fn allow_end_from(&self, from: Option<Instant>) {
+        self.lock().may_end_from = from;
+    }
+
+    /// Marks the connection as one that has to go.
+    pub(super) fn evict(&self) {
+        self.lock().is_evicted = true;
+        self.evicted.notify_waiters();
+    }
+
     /// Returns how many bytes may be read now; `None` if the head is longer than allowed.
     pub(super) fn allowed_read(&self, limits: &RequestLimits) -> Option<usize> {
         let mut inner = self.lock();
@@ -97,6 +147,7 @@
     pub(super) fn start_request(&self, head_bytes: usize, has_body: bool) -> bool {
         let mut inner = self.lock();
         inner.phase = Phase::Answer;
+        inner.may_end_from = None;
         let has_size_checked = !inner.may_have_buffered_head;
         let has_more_arrived = inner.head_bytes != head_bytes;
         inner.may_have_buffered_head |= has_body || has_more_arrived;
--- a/crates/mastknot_runtime/src/http/http_counts.rs
+++ b/crates/mastknot_runtime/src/http/http_counts.rs
@@ -4,6 +4,7 @@
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::registry::Registry;
 
 /// Reason why a server refused a request or closed a connection.
@@ -15,6 +16,10 @@
     HeadTooSlow,
     /// The connection rested for longer than allowed.
     Idle,
+    /// The connection had to make room for others: it was the longest without a whole request.
+    RoomForOthers,
+    /// A connection found no place, and nothing could make room for it.
+    NoPlace,
 }
 
 impl CloseReason {
@@ -24,6 +29,8 @@
             Self::HeadTooLong => "head_too_long",
             Self::HeadTooSlow => "head_too_slow",
             Self::Idle => "idle",
+            Self::RoomForOthers => "room_for_others",
+            Self::NoPlace => "no_place",
         }
     }
 
@@ -39,7 +46,12 @@
     reason: &'static str,
 }
 
-/// Counts of requests that were refused and connections that were closed, by listener and reason.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct ListenerLabels {
+    listener: &'static str,
+}
+
+/// Counts of the connections of listeners, and of those that were refused or closed, by reason.
 ///
 /// Callers may repeat what is refused without end, so only the first, second, fourth, eighth and so on of each reason
 /// are logged.
@@ -47,6 +59,7 @@
 pub struct HttpCounts {
     listener: &'static str,
     closed: Arc<Family<ReasonLabels, Counter>>,
+    connections: Arc<Family<ListenerLabels, Gauge>>,
 }
 
 impl HttpCounts {
@@ -68,6 +81,18 @@
         }
     }
 
+    /// Records how many connections are open.
+    pub(super) fn record_open(&self, connections: usize) {
+        let open = self.connections.get_or_create(&self.listener_labels());
+        open.set(connections as i64);
+    }
+
+    /// Returns the number of open connections of the listener.
+    pub fn open_connections(&self) -> usize {
+        let open = self.connections.get_or_create(&self.listener_labels());
+        open.get() as usize
+    }
+
     /// Returns how often a reason was recorded.
     pub fn closed(&self, reason: CloseReason) -> u64 {
         self.closed.get_or_create(&self.reason_labels(reason)).get()
@@ -77,6 +102,15 @@
     pub fn register(&self, registry: &mut Registry) {
         let help = "Requests refused and connections closed by the limits of a listener, by reason";
         registry.register("mastknot_http_closed", help, (*self.closed).clone());
+        let help = "Open connections of a listener";
+        let connections = (*self.connections).clone();
+        registry.register("mastknot_http_connections", help, connections);
+    }
+
+    fn listener_labels(&self) -> ListenerLabels {
+        ListenerLabels {
+            listener: self.listener,
+        }
     }
 
     fn reason_labels(&self, reason: CloseReason) -> ReasonLabels {
--- a/crates/mastknot_runtime/src/http/limits.rs
+++ b/crates/mastknot_runtime/src/http/limits.rs
@@ -12,6 +12,10 @@
 const DEFAULT_HEAD_TIME: Duration = Duration::from_secs(5);
 /// Longest rest of a connection where nobody states one: longer than clients keep unused connections.
 const DEFAULT_IDLE_TIME: Duration = Duration::from_secs(60);
+/// Number of connections of a listener where nobody states one.
+const DEFAULT_CONNECTIONS: usize = 4_096;
+/// Number of connections of a listener that has a few known peers.
+const FEW_CONNECTIONS: usize = 64;
 
 /// Limits of the requests on one connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -39,15 +43,28 @@
 pub struct ServerLimits {
     /// Limits of the requests. A new value is in force at once, on open connections too.
     pub requests: watch::Receiver<RequestLimits>,
-    /// Counts of requests that were refused and connections that were closed.
+    /// Maximum number of open connections.
+    pub connections: usize,
+    /// Counts of the listener's connections and of those that were refused or closed.
     pub counts: HttpCounts,
 }
 
+impl ServerLimits {
+    /// Returns the limits of a listener that has a few known peers.
+    pub fn for_few_peers() -> Self {
+        Self {
+            connections: FEW_CONNECTIONS,
+            ..Self::default()
+        }
+    }
+}
+
 impl Default for ServerLimits {
     fn default() -> Self {
         let (_, requests) = watch::channel(RequestLimits::default());
         Self {
             requests,
+            connections: DEFAULT_CONNECTIONS,
             counts: HttpCounts::default(),
         }
     }
--- a/crates/mastknot_runtime/src/http/mod.rs
+++ b/crates/mastknot_runtime/src/http/mod.rs
@@ -1,6 +1,6 @@
 //! HTTP server, clients and bodies, built on `hyper`.
 //!
-//! Callers of a server may be strangers: their requests are limited by [`ServerLimits`].
+//! Callers of a server may be strangers: their connections and requests are limited by [`ServerLimits`].
 
 mod accepted;
 mod answer_tracking;
@@ -8,6 +8,7 @@
 mod client;
 mod connection;
 mod connection_state;
+mod connection_table;
 mod deadline;
 mod http_counts;
 mod limits;
@@ -27,5 +28,6 @@
 pub use http_counts::{CloseReason, HttpCounts};
 pub use limits::{RequestLimits, ServerLimits};
 pub use peer_client::PeerClient;
+pub use request_account::RequestAccount;
 pub use request_parts::RequestParts;
 pub use server::HttpServer;
--- a/crates/mastknot_runtime/src/http/refusal.rs
+++ b/crates/mastknot_runtime/src/http/refusal.rs
@@ -13,6 +13,13 @@
 /// Answer to a head that did not become whole in time.
 pub(super) const HEAD_TOO_SLOW: &[u8] =
     b"HTTP/1.1 408 Request Timeout\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
+/// Answer to a request that was not read because there is no room for it.
+pub(super) const NO_ROOM: &[u8] =
+    b"HTTP/1.1 503 Service Unavailable\r\nconnection: close\r\nretry-after: 1\r\ncontent-length: 0\r\n\r\n";
+/// Answer to a request that was ended for others after its time. It may have run.
+pub(super) const OVERDUE: &[u8] =
+    b"HTTP/1.1 504 Gateway Timeout\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
+
 /// Time for which a refused caller is listened to, so that it can read the refusal.
 const LINGER_TIME: Duration = Duration::from_secs(1);
 /// Maximum number of bytes that are read and discarded from a refused caller.
--- a/crates/mastknot_runtime/src/http/server.rs
+++ b/crates/mastknot_runtime/src/http/server.rs
@@ -7,18 +7,16 @@
 use hyper::body::Incoming;
 use log::debug;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Semaphore, mpsc, oneshot, watch};
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::JoinHandle;
 
 use super::connection::{ConnectionParts, serve_connection};
-use super::connection_state::ConnectionState;
-use super::request_account::RequestAccount;
-use super::{ResponseBody, ServerLimits, set_up_accepted};
+use super::connection_table::ConnectionTable;
+use super::refusal::{NO_ROOM, send};
+use super::{RequestAccount, ResponseBody, ServerLimits, set_up_accepted};
 
 /// Pause after the operating system failed to accept a connection.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
-/// Maximum number of open connections of one listener.
-const MAX_CONNECTIONS: usize = 4_096;
 
 /// An HTTP/1.1 server on one listener.
 #[derive(Debug)]
@@ -55,7 +53,7 @@
         let address = listener.local_addr()?;
         let (stop, stopped) = oneshot::channel();
         let server = Server {
-            places: Arc::new(Semaphore::new(MAX_CONNECTIONS)),
+            table: Arc::new(ConnectionTable::new(&limits)),
             limits,
             handler: Arc::new(handler),
         };
@@ -87,7 +85,7 @@
 }
 
 struct Server<H> {
-    places: Arc<Semaphore>,
+    table: Arc<ConnectionTable>,
     limits: ServerLimits,
     handler: Arc<H>,
 }
@@ -134,19 +132,15 @@
         if let Err(error) = set_up_accepted(&stream) {
             debug!(error:%; "socket options of an accepted connection not set");
         }
-        let place = Arc::clone(&self.places).try_acquire_owned().ok()?;
+        let Some(state) = self.table.admit() else {
+            send(&stream, NO_ROOM);
+            return None;
+        };
         let parts = ConnectionParts {
-            account: RequestAccount {
-                counts: self.limits.counts.clone(),
-                state: Arc::new(ConnectionState::new()),
-            },
+            account: RequestAccount::new(Arc::clone(&self.table), state),
             limits: self.limits.requests.clone(),
             stopping,
         };
-        let served = serve_connection(stream, parts, Arc::clone(&self.handler));
-        Some(async move {
-            served.await;
-            drop(place);
-        })
+        Some(serve_connection(stream, parts, Arc::clone(&self.handler)))
     }
 }
--- a/crates/mastknot_runtime/src/lib.rs
+++ b/crates/mastknot_runtime/src/lib.rs
@@ -19,7 +19,7 @@
     BodyError, HttpServer, ResponseBody, empty_response, json_response, plain_client, read_body,
     stream_response, text_response,
 };
-pub use http::{CloseReason, HttpCounts, RequestLimits, ServerLimits};
+pub use http::{CloseReason, HttpCounts, RequestAccount, RequestLimits, ServerLimits};
 pub use http::{HttpClient, PeerClient, RequestParts, set_up_accepted};
 pub use logs::{LogFormat, LogSettings, start_bounded_logs, start_logs};
 pub use metrics::{
