fix(http): one budget of bytes for all that clients make an entry hold

Callers saw: an entry whose process was ended for its memory, by bodies that stop just short of their end, by heads and empty lines without end, by chunks of any size, by small jobs of many tasks, and by requests whose answers are not read.

Cause: limits a connection without a bound on their sum. A body's buffer doubled, a parser's buffer grew to 400 KB, the kernel's to megabytes for each connection, the text of a job was kept until its answer, and 1,000 tasks cost a request of a few KB.

A connection is charged from its first moment (32 KB, what the kernel may receive for it: its buffer is limited to 16 KB), for the buffer of a head, for each block of 4 KB of a body that has arrived, and for its job until it is answered. When it is spent, the connection without a whole request goes that holds the most bytes times the time for which it has held them; its body is freed at once and its caller gets 503, which is true: the job was never handed on. Where only whole requests are left, the newcomer gets 503 with Retry-After. An ordinary request holds little for a short time and is never the one to go. A body that is announced as too long is refused at once; no request is read while answers can't be written.

Beside more_small_jobs_of_many_tasks the workers are full, and ordinary jobs get 503 until they end.

--- a/crates/mastknot_core/src/job/job_request.rs
+++ b/crates/mastknot_core/src/job/job_request.rs
@@ -8,6 +8,10 @@
 const MAX_TASKS: u64 = 1_000;
 /// Maximum number of steps in one job.
 const MAX_STEPS: usize = 100;
+/// Memory that one task takes in an entry until its job is answered, in bytes: its state, and its place in queues.
+const TASK_BYTES: u64 = 256;
+/// Memory that one step takes beside its texts, in bytes.
+const STEP_BYTES: usize = 512;
 
 /// A job as a caller submitted it.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -42,6 +46,13 @@
 }
 
 impl JobRequest {
+    /// Estimates the memory that the job takes in an entry until it is answered, in bytes.
+    pub fn memory_bytes(&self) -> usize {
+        let tasks: u64 = self.steps.iter().map(|step| u64::from(step.count)).sum();
+        let steps: usize = self.steps.iter().map(step_bytes).sum();
+        self.payload.len() + self.request_id.len() + steps + (tasks * TASK_BYTES) as usize
+    }
+
     /// Checks everything that does not depend on the state of the system: the number of tasks and
     /// steps, and their order.
     pub fn check(&self) -> Result<(), JobRequestError> {
@@ -64,3 +75,9 @@
         Ok(())
     }
 }
+
+fn step_bytes(step: &StepSpec) -> usize {
+    let texts = [&step.required_label, &step.preferred_rack, &step.image];
+    let texts: usize = texts.into_iter().flatten().map(|text| text.len()).sum();
+    STEP_BYTES + texts + size_of_val(step.after.as_slice())
+}
--- a/crates/mastknot_entry/src/callers/caller_api.rs
+++ b/crates/mastknot_entry/src/callers/caller_api.rs
@@ -10,7 +10,8 @@
 use mastknot_core::message::ResourceName;
 use mastknot_core::types::SubmissionKey;
 use mastknot_runtime::{
-    BodyError, Clock, RequestParts, ResponseBody, empty_response, json_response, read_body,
+    BodyError, Clock, RequestBody, RequestParts, ResponseBody, empty_response, json_response,
+    read_request,
 };
 use serde_json::json;
 use tokio::sync::oneshot;
@@ -33,6 +34,7 @@
     pub(crate) too_long: AtomicU64,
     pub(crate) too_slow: AtomicU64,
     pub(crate) broken: AtomicU64,
+    pub(crate) no_memory: AtomicU64,
     pub(crate) unknown_path: AtomicU64,
 }
 
@@ -127,8 +129,8 @@
     async fn body(
         &self,
         request: Request<Incoming>,
-    ) -> Result<bytes::Bytes, Response<ResponseBody>> {
-        let body = read_body(request.into_body(), self.max_body, BODY_TIMEOUT).await;
+    ) -> Result<RequestBody, Response<ResponseBody>> {
+        let body = read_request(request, self.max_body, BODY_TIMEOUT).await;
         body.map_err(|problem| {
             let (counter, status, code) = match problem {
                 BodyError::TooLong { .. } => (
@@ -146,6 +148,11 @@
                     StatusCode::BAD_REQUEST,
                     "body_broken",
                 ),
+                BodyError::NoMemory => (
+                    &self.bad_input.no_memory,
+                    StatusCode::SERVICE_UNAVAILABLE,
+                    "no_memory",
+                ),
             };
             counter.fetch_add(1, Ordering::Relaxed);
             error_response(status, code, &problem.to_string())
--- a/crates/mastknot_entry/src/operators/operator_api.rs
+++ b/crates/mastknot_entry/src/operators/operator_api.rs
@@ -8,7 +8,7 @@
 use mastknot_core::entry::EntryEvent;
 use mastknot_core::message::ResourceName;
 use mastknot_runtime::{
-    RequestParts, ResponseBody, empty_response, json_response, read_body, stream_response,
+    RequestParts, ResponseBody, empty_response, json_response, read_request, stream_response,
 };
 use serde_json::{Value, json};
 
@@ -78,6 +78,7 @@
             "malformed": read(&bad.malformed),
             "too_long": read(&bad.too_long),
             "too_slow": read(&bad.too_slow),
+            "no_memory": read(&bad.no_memory),
             "broken": read(&bad.broken),
             "unknown_path": read(&bad.unknown_path),
         });
@@ -129,7 +130,7 @@
         name: &str,
         request: Request<Incoming>,
     ) -> Response<ResponseBody> {
-        let body = read_body(request.into_body(), MAX_BODY_BYTES, BODY_TIMEOUT).await;
+        let body = read_request(request, MAX_BODY_BYTES, BODY_TIMEOUT).await;
         let bytes = match body {
             Ok(bytes) => bytes,
             Err(problem) => {
--- a/crates/mastknot_runtime/src/http/accepted.rs
+++ b/crates/mastknot_runtime/src/http/accepted.rs
@@ -1,7 +1,7 @@
 use std::time::Duration;
 
 use socket2::{SockRef, TcpKeepalive};
-use tokio::net::TcpStream;
+use tokio::net::{TcpListener, TcpStream};
 
 /// Time for which sent bytes may stay unacknowledged before the kernel closes the connection.
 ///
@@ -13,6 +13,19 @@
 /// connection is closed at most 40 s after the last bytes arrived on it.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(10);
 
+/// Size of the kernel's buffer for what has arrived unread on a connection, in bytes. The kernel keeps up to one and a
+/// half times as many.
+const RECEIVE_BUFFER_BYTES: usize = 16_384;
+/// Size of the kernel's buffer for answers that are not taken, in bytes.
+const SEND_BUFFER_BYTES: usize = 65_536;
+
+/// Limits what the kernel holds for each connection that `listener` accepts.
+pub(super) fn limit_buffers(listener: &TcpListener) -> std::io::Result<()> {
+    let socket = SockRef::from(listener);
+    socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES)?;
+    socket.set_send_buffer_size(SEND_BUFFER_BYTES)
+}
+
 /// Sets socket options on an accepted connection: small answers are sent without delay, and the kernel closes the
 /// connection if the other end has gone silent.
 pub fn set_up_accepted(stream: &TcpStream) -> std::io::Result<()> {
--- a/crates/mastknot_runtime/src/http/connection.rs
+++ b/crates/mastknot_runtime/src/http/connection.rs
@@ -108,7 +108,8 @@
     poll_fn(|cx| {
         is_evicted = is_evicted || evicted.as_mut().poll(cx).is_ready();
         let phase = state.phase();
-        if is_evicted && phase != Phase::Closing {
+        // A body that has to go is refused by its handler.
+        if is_evicted && !matches!(phase, Phase::Body | Phase::Closing) {
             return Poll::Ready(End::Evicted(phase));
         }
         if connection.poll_without_shutdown(cx).is_ready() {
@@ -162,6 +163,7 @@
         End::Over if state.is_head_too_long() && state.phase() == Phase::Head => {
             Some(HEAD_TOO_LONG)
         }
+        End::Over if state.is_without_memory() => Some(NO_ROOM),
         End::Expired(Phase::Head) => Some(HEAD_TOO_SLOW),
         End::Evicted(Phase::Resting | Phase::Head) => Some(NO_ROOM),
         End::Evicted(Phase::Answer) => Some(OVERDUE),
@@ -181,7 +183,11 @@
 {
     let state = Arc::clone(&account.state);
     request.extensions_mut().insert(account);
-    let response = handler(request).await;
+    let mut response = handler(request).await;
+    if state.phase() == Phase::Closing {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(CONNECTION, close);
+    }
     response.map(|body| TrackedBody::new(body, state))
 }
 
--- a/crates/mastknot_runtime/src/http/http_counts.rs
+++ b/crates/mastknot_runtime/src/http/http_counts.rs
@@ -16,8 +16,14 @@
     HeadTooSlow,
     /// The connection rested for longer than allowed.
     Idle,
-    /// The connection had to make room for others: it was the longest without a whole request.
+    /// The body of a request is longer than allowed.
+    BodyTooLong,
+    /// The body of a request did not become whole in time.
+    BodyTooSlow,
+    /// The connection had to make room for others: it held the most for the longest time without a whole request.
     RoomForOthers,
+    /// A request that had arrived found no memory, and nothing could make room for it.
+    NoMemory,
     /// A connection found no place, and nothing could make room for it.
     NoPlace,
 }
@@ -29,7 +35,10 @@
             Self::HeadTooLong => "head_too_long",
             Self::HeadTooSlow => "head_too_slow",
             Self::Idle => "idle",
+            Self::BodyTooLong => "body_too_long",
+            Self::BodyTooSlow => "body_too_slow",
             Self::RoomForOthers => "room_for_others",
+            Self::NoMemory => "no_memory",
             Self::NoPlace => "no_place",
         }
     }
@@ -51,7 +60,7 @@
     listener: &'static str,
 }
 
-/// Counts of the connections of listeners, and of those that were refused or closed, by reason.
+/// Counts of the connections of listeners, of what they hold, and of those that were refused or closed, by reason.
 ///
 /// Callers may repeat what is refused without end, so only the first, second, fourth, eighth and so on of each reason
 /// are logged.
@@ -60,6 +69,7 @@
     listener: &'static str,
     closed: Arc<Family<ReasonLabels, Counter>>,
     connections: Arc<Family<ListenerLabels, Gauge>>,
+    held_bytes: Arc<Family<ListenerLabels, Gauge>>,
 }
 
 impl HttpCounts {
@@ -81,10 +91,13 @@
         }
     }
 
-    /// Records how many connections are open.
-    pub(super) fn record_open(&self, connections: usize) {
-        let open = self.connections.get_or_create(&self.listener_labels());
+    /// Records how many connections are open and how many bytes they are charged with.
+    pub(super) fn record_held(&self, connections: usize, bytes: usize) {
+        let labels = self.listener_labels();
+        let open = self.connections.get_or_create(&labels);
         open.set(connections as i64);
+        let held = self.held_bytes.get_or_create(&labels);
+        held.set(bytes as i64);
     }
 
     /// Returns the number of open connections of the listener.
@@ -93,6 +106,12 @@
         open.get() as usize
     }
 
+    /// Returns how many bytes the connections of the listener are charged with.
+    pub fn held_bytes(&self) -> usize {
+        let held = self.held_bytes.get_or_create(&self.listener_labels());
+        held.get() as usize
+    }
+
     /// Returns how often a reason was recorded.
     pub fn closed(&self, reason: CloseReason) -> u64 {
         self.closed.get_or_create(&self.reason_labels(reason)).get()
@@ -105,6 +124,9 @@
         let help = "Open connections of a listener";
         let connections = (*self.connections).clone();
         registry.register("mastknot_http_connections", help, connections);
+        let help = "Bytes that the connections of a listener are charged with";
+        let held = (*self.held_bytes).clone();
+        registry.register("mastknot_http_held_bytes", help, held);
     }
 
     fn listener_labels(&self) -> ListenerLabels {
--- a/crates/mastknot_runtime/src/http/limits.rs
+++ b/crates/mastknot_runtime/src/http/limits.rs
@@ -14,8 +14,12 @@
 const DEFAULT_IDLE_TIME: Duration = Duration::from_secs(60);
 /// Number of connections of a listener where nobody states one.
 const DEFAULT_CONNECTIONS: usize = 4_096;
+/// Memory for the connections of a listener where nobody states one, in bytes.
+const DEFAULT_MEMORY_BYTES: usize = 268_435_456;
 /// Number of connections of a listener that has a few known peers.
 const FEW_CONNECTIONS: usize = 64;
+/// Memory for the connections of a listener that has a few known peers, in bytes.
+const FEW_MEMORY_BYTES: usize = 4_194_304;
 
 /// Limits of the requests on one connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -45,6 +49,9 @@
     pub requests: watch::Receiver<RequestLimits>,
     /// Maximum number of open connections.
     pub connections: usize,
+    /// Maximum of what the connections may make this process hold, in bytes: what has arrived unread, buffers, and
+    /// what handlers hold for requests that are not answered.
+    pub memory_bytes: usize,
     /// Counts of the listener's connections and of those that were refused or closed.
     pub counts: HttpCounts,
 }
@@ -54,6 +61,7 @@
     pub fn for_few_peers() -> Self {
         Self {
             connections: FEW_CONNECTIONS,
+            memory_bytes: FEW_MEMORY_BYTES,
             ..Self::default()
         }
     }
@@ -65,6 +73,7 @@
         Self {
             requests,
             connections: DEFAULT_CONNECTIONS,
+            memory_bytes: DEFAULT_MEMORY_BYTES,
             counts: HttpCounts::default(),
         }
     }
--- a/crates/mastknot_runtime/src/http/metered_stream.rs
+++ b/crates/mastknot_runtime/src/http/metered_stream.rs
@@ -1,6 +1,6 @@
 use std::io::{Error, ErrorKind, IoSlice};
 use std::pin::Pin;
-use std::task::{Context, Poll, ready};
+use std::task::{Context, Poll, Waker, ready};
 
 use hyper::rt::{Read, ReadBufCursor, Write};
 use tokio::io::AsyncWrite;
@@ -18,6 +18,10 @@
     pub(super) stream: TcpStream,
     account: RequestAccount,
     limits: watch::Receiver<RequestLimits>,
+    /// Whether the other end does not take its answers.
+    is_write_blocked: bool,
+    /// Waits with a read until the answers are taken.
+    blocked_reader: Option<Waker>,
 }
 
 impl MeteredStream {
@@ -30,8 +34,20 @@
             stream,
             account,
             limits,
+            is_write_blocked: false,
+            blocked_reader: None,
         }
     }
+
+    fn record_write<T>(&mut self, written: Poll<T>) -> Poll<T> {
+        self.is_write_blocked = written.is_pending();
+        if written.is_ready()
+            && let Some(reader) = self.blocked_reader.take()
+        {
+            reader.wake();
+        }
+        written
+    }
 }
 
 impl Read for MeteredStream {
@@ -41,13 +57,15 @@
         mut buffer: ReadBufCursor<'_>,
     ) -> Poll<Result<(), Error>> {
         let this = self.get_mut();
+        // More requests would make more answers wait.
+        if this.is_write_blocked {
+            this.blocked_reader = Some(cx.waker().clone());
+            return Poll::Pending;
+        }
         let mut part = [0; READ_BYTES];
         loop {
             ready!(this.stream.poll_read_ready(cx))?;
-            let allowed = this.account.state.allowed_read(&this.limits.borrow());
-            let Some(allowed) = allowed else {
-                return Poll::Ready(Err(Error::other("the head is longer than allowed")));
-            };
+            let allowed = this.account.allow_read(&this.limits.borrow())?;
             let most = READ_BYTES.min(allowed).min(buffer.remaining());
             match this.stream.try_read(&mut part[..most]) {
                 Ok(read) => {
@@ -72,7 +90,8 @@
         cx: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<Result<usize, Error>> {
-        Pin::new(&mut self.stream).poll_write(cx, bytes)
+        let written = Pin::new(&mut self.stream).poll_write(cx, bytes);
+        self.record_write(written)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Result<(), Error>> {
@@ -92,6 +111,7 @@
         cx: &mut Context<'_>,
         slices: &[IoSlice<'_>],
     ) -> Poll<Result<usize, Error>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, slices)
+        let written = Pin::new(&mut self.stream).poll_write_vectored(cx, slices);
+        self.record_write(written)
     }
 }
--- a/crates/mastknot_runtime/src/http/server.rs
+++ b/crates/mastknot_runtime/src/http/server.rs
@@ -10,6 +10,7 @@
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::JoinHandle;
 
+use super::accepted::limit_buffers;
 use super::connection::{ConnectionParts, serve_connection};
 use super::connection_table::ConnectionTable;
 use super::refusal::{NO_ROOM, send};
@@ -51,6 +52,10 @@
         F: Future<Output = Response<ResponseBody>> + Send + 'static,
     {
         let address = listener.local_addr()?;
+        // Accepted connections inherit the sizes.
+        if let Err(error) = limit_buffers(&listener) {
+            debug!(error:%; "buffers of a listener not limited");
+        }
         let (stop, stopped) = oneshot::channel();
         let server = Server {
             table: Arc::new(ConnectionTable::new(&limits)),
--- a/crates/mastknot_runtime/src/lib.rs
+++ b/crates/mastknot_runtime/src/lib.rs
@@ -16,10 +16,13 @@
 pub use clock::{Clock, suspended_so_far};
 pub use error::{NodeError, node_context};
 pub use http::{
-    BodyError, HttpServer, ResponseBody, empty_response, json_response, plain_client, read_body,
-    stream_response, text_response,
+    BodyError, RequestBody, ResponseBody, empty_response, json_response, plain_client, read_body,
+    read_request, stream_response, text_response,
+};
+pub use http::{
+    ChargedBytes, CloseReason, HttpCounts, HttpServer, NoMemory, RequestAccount, RequestLimits,
+    ServerLimits,
 };
-pub use http::{CloseReason, HttpCounts, RequestAccount, RequestLimits, ServerLimits};
 pub use http::{HttpClient, PeerClient, RequestParts, set_up_accepted};
 pub use logs::{LogFormat, LogSettings, start_bounded_logs, start_logs};
 pub use metrics::{
--- a/crates/mastknot_standin/src/store/handler.rs
+++ b/crates/mastknot_standin/src/store/handler.rs
@@ -7,7 +7,9 @@
 use futures_util::stream;
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
-use mastknot_runtime::{ResponseBody, empty_response, json_response, read_body, stream_response};
+use mastknot_runtime::{
+    ResponseBody, empty_response, json_response, read_request, stream_response,
+};
 use serde_json::{Value, json};
 
 use super::StoreFaults;
@@ -28,7 +30,7 @@
 
 pub(super) async fn handle(state: Shared, request: Request<Incoming>) -> Response<ResponseBody> {
     let path = request.uri().path().to_owned();
-    let Ok(bytes) = read_body(request.into_body(), MAX_BODY, BODY_TIMEOUT).await else {
+    let Ok(bytes) = read_request(request, MAX_BODY, BODY_TIMEOUT).await else {
         return empty_response(StatusCode::BAD_REQUEST);
     };
     let body: Value = serde_json::from_slice(&bytes).unwrap_or(Value::Null);
--- a/crates/mastknot_standin/src/vms/mod.rs
+++ b/crates/mastknot_standin/src/vms/mod.rs
@@ -7,7 +7,7 @@
 
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
-use mastknot_runtime::{HttpServer, ResponseBody, empty_response, json_response, read_body};
+use mastknot_runtime::{HttpServer, ResponseBody, empty_response, json_response, read_request};
 use serde::{Deserialize, Serialize};
 use snafu::ResultExt;
 use tokio::net::TcpListener;
@@ -86,7 +86,7 @@
     request: Request<Incoming>,
 ) -> Response<ResponseBody> {
     let path = request.uri().path().to_owned();
-    let Ok(bytes) = read_body(request.into_body(), MAX_BODY, BODY_TIMEOUT).await else {
+    let Ok(bytes) = read_request(request, MAX_BODY, BODY_TIMEOUT).await else {
         return empty_response(StatusCode::BAD_REQUEST);
     };
     let mut vms = vms.lock().expect("no handler panics");
--- a/crates/mastknot_standin/src/worker/worker_stand_in.rs
+++ b/crates/mastknot_standin/src/worker/worker_stand_in.rs
@@ -4,7 +4,7 @@
 
 use http::{HeaderValue, Request, Response, StatusCode};
 use hyper::body::Incoming;
-use mastknot_runtime::{HttpServer, ResponseBody, empty_response, json_response, read_body};
+use mastknot_runtime::{HttpServer, ResponseBody, empty_response, json_response, read_request};
 use serde::Deserialize;
 use serde_json::{Value, json};
 use snafu::ResultExt;
@@ -100,7 +100,7 @@
 async fn handle(state: Shared, request: Request<Incoming>) -> Response<ResponseBody> {
     let path = request.uri().path().to_owned();
     let task = task_of(&request);
-    let Ok(bytes) = read_body(request.into_body(), MAX_BODY, BODY_TIMEOUT).await else {
+    let Ok(bytes) = read_request(request, MAX_BODY, BODY_TIMEOUT).await else {
         return empty_response(StatusCode::BAD_REQUEST);
     };
     match path.as_str() {
