fix(http): clients that always have bytes ready leave the loop to leases and readiness

Cause: one thread serves clients, leases and readiness, and each connection with bytes ready was read for as long as the runtime lets one task run, all of them before anything else had its turn.

Change: after 16 reads of 4 KB at most, or accepted connections, of a listener, its clients wait until all other tasks that are ready have run and sockets and timers have been looked at; they are served in the order in which they came.

--- a/crates/mastknot_runtime/src/http/connection.rs
+++ b/crates/mastknot_runtime/src/http/connection.rs
@@ -18,6 +18,7 @@
 use super::deadline::Deadline;
 use super::limits::MAX_HEAD_BYTES;
 use super::metered_stream::MeteredStream;
+use super::read_turns::ConnectionTurns;
 use super::refusal::{HEAD_TOO_LONG, HEAD_TOO_SLOW, NO_ROOM, OVERDUE, linger, send};
 use super::request_account::ConnectionPlace;
 use super::{CloseReason, RequestAccount, RequestLimits, ResponseBody, empty_response};
@@ -31,6 +32,7 @@
 pub(super) struct ConnectionParts {
     pub(super) account: RequestAccount,
     pub(super) limits: watch::Receiver<RequestLimits>,
+    pub(super) turns: ConnectionTurns,
     /// Becomes true, or loses its sender, when the server stops.
     pub(super) stopping: watch::Receiver<bool>,
 }
@@ -57,6 +59,7 @@
     let ConnectionParts {
         account,
         limits,
+        turns,
         stopping,
     } = parts;
     let _place = ConnectionPlace(account.clone());
@@ -76,7 +79,7 @@
         };
         Box::pin(handled.map(Ok::<_, Infallible>))
     });
-    let stream = MeteredStream::new(stream, account.clone(), limits.clone());
+    let stream = MeteredStream::new(stream, turns, account.clone(), limits.clone());
     // The limits of this server hold, which follow the settings also on open connections.
     let mut connection = http1::Builder::new()
         .header_read_timeout(None)
@@ -131,7 +134,9 @@
 
 /// Ends a connection. Its caller gets the last answer of the server, if there is one.
 async fn finish(stream: MeteredStream, account: &RequestAccount, end: &End) {
-    let stream = stream.stream;
+    let MeteredStream {
+        stream, mut turns, ..
+    } = stream;
     let state = &account.state;
     let answer = last_answer(state, end);
     if let Some(answer) = answer {
@@ -143,7 +148,7 @@
         tokio::select! {
             biased;
             () = state.wait_evicted() => {}
-            () = Box::pin(linger(stream)) => {}
+            () = Box::pin(linger(stream, &mut turns)) => {}
         }
     }
 }
--- a/crates/mastknot_runtime/src/http/metered_stream.rs
+++ b/crates/mastknot_runtime/src/http/metered_stream.rs
@@ -8,14 +8,17 @@
 use tokio::sync::watch;
 
 use super::RequestLimits;
+use super::read_turns::ConnectionTurns;
 use super::request_account::RequestAccount;
 
-/// Maximum number of bytes of one read.
+/// Maximum number of bytes of one read. Parsing them takes little longer than other work of one turn.
 pub(super) const READ_BYTES: usize = 4_096;
 
-/// Stream of one connection whose reads are limited while a head arrives, to the size that a head may have.
+/// Stream of one connection whose reads are limited: in turns with other work, and while a head arrives to the size
+/// that a head may have.
 pub(super) struct MeteredStream {
     pub(super) stream: TcpStream,
+    pub(super) turns: ConnectionTurns,
     account: RequestAccount,
     limits: watch::Receiver<RequestLimits>,
     /// Whether the other end does not take its answers.
@@ -27,11 +30,13 @@
 impl MeteredStream {
     pub(super) fn new(
         stream: TcpStream,
+        turns: ConnectionTurns,
         account: RequestAccount,
         limits: watch::Receiver<RequestLimits>,
     ) -> Self {
         Self {
             stream,
+            turns,
             account,
             limits,
             is_write_blocked: false,
@@ -65,10 +70,12 @@
         let mut part = [0; READ_BYTES];
         loop {
             ready!(this.stream.poll_read_ready(cx))?;
+            ready!(this.turns.poll_turn(cx));
             let allowed = this.account.allow_read(&this.limits.borrow())?;
             let most = READ_BYTES.min(allowed).min(buffer.remaining());
             match this.stream.try_read(&mut part[..most]) {
                 Ok(read) => {
+                    this.turns.end();
                     if read == 0 {
                         this.account.state.record_peer_end();
                         return Poll::Ready(Ok(()));
--- a/crates/mastknot_runtime/src/http/mod.rs
+++ b/crates/mastknot_runtime/src/http/mod.rs
@@ -15,6 +15,7 @@
 mod limits;
 mod metered_stream;
 mod peer_client;
+mod read_turns;
 mod refusal;
 mod request_account;
 mod request_body;
--- a/crates/mastknot_runtime/src/http/refusal.rs
+++ b/crates/mastknot_runtime/src/http/refusal.rs
@@ -6,6 +6,7 @@
 use tokio::net::TcpStream;
 
 use super::metered_stream::READ_BYTES;
+use super::read_turns::ConnectionTurns;
 
 /// Answer to a head that is longer than allowed.
 pub(super) const HEAD_TOO_LONG: &[u8] =
@@ -34,18 +35,19 @@
 /// Ends a connection whose caller may still be sending: reads and discards until it has read the refusal.
 ///
 /// A connection that is closed with unread bytes is reset, and its caller may never see the refusal.
-pub(super) async fn linger(mut stream: TcpStream) {
+pub(super) async fn linger(mut stream: TcpStream, turns: &mut ConnectionTurns) {
     if stream.shutdown().await.is_err() {
         return;
     }
-    let discarded = discard(&stream);
+    let discarded = discard(&stream, turns);
     let _ = tokio::time::timeout(LINGER_TIME, discarded).await;
 }
 
-async fn discard(stream: &TcpStream) {
+async fn discard(stream: &TcpStream, turns: &mut ConnectionTurns) {
     let mut part = [0; READ_BYTES];
     let mut total = 0;
     while total < LINGER_BYTES && stream.readable().await.is_ok() {
+        turns.pass().await;
         match stream.try_read(&mut part) {
             Ok(0) => return,
             Ok(read) => total += read,
--- a/crates/mastknot_runtime/src/http/server.rs
+++ b/crates/mastknot_runtime/src/http/server.rs
@@ -13,6 +13,7 @@
 use super::accepted::limit_buffers;
 use super::connection::{ConnectionParts, serve_connection};
 use super::connection_table::ConnectionTable;
+use super::read_turns::ReadTurns;
 use super::refusal::{NO_ROOM, send};
 use super::{RequestAccount, ResponseBody, ServerLimits, set_up_accepted};
 
@@ -59,6 +60,7 @@
         let (stop, stopped) = oneshot::channel();
         let server = Server {
             table: Arc::new(ConnectionTable::new(&limits)),
+            turns: ReadTurns::start(),
             limits,
             handler: Arc::new(handler),
         };
@@ -91,6 +93,7 @@
 
 struct Server<H> {
     table: Arc<ConnectionTable>,
+    turns: ReadTurns,
     limits: ServerLimits,
     handler: Arc<H>,
 }
@@ -103,6 +106,7 @@
     async fn serve(self, listener: TcpListener, mut stopped: oneshot::Receiver<()>) {
         let (stopping, is_stopping) = watch::channel(false);
         let (running, mut all_ended) = mpsc::channel::<()>(1);
+        let mut turns = self.turns.connection();
         loop {
             let accepted = tokio::select! {
                 accepted = listener.accept() => accepted,
@@ -120,6 +124,7 @@
                     drop(running);
                 });
             }
+            turns.pass().await;
         }
         drop(listener);
         stopping.send_replace(true);
@@ -144,6 +149,7 @@
         let parts = ConnectionParts {
             account: RequestAccount::new(Arc::clone(&self.table), state),
             limits: self.limits.requests.clone(),
+            turns: self.turns.connection(),
             stopping,
         };
         Some(serve_connection(stream, parts, Arc::clone(&self.handler)))
