--- a/crates/mastknot_core/src/job/job_request.rs
+++ b/crates/mastknot_core/src/job/job_request.rs
@@ -7,7 +7,7 @@
 /// Maximum number of tasks in one job.
 const MAX_TASKS: u64 = 1_000;
 /// Maximum number of steps in one job.
-const MAX_STEPS: usize = 100;
+pub const MAX_STEPS: usize = 100;
 /// Memory that one task takes in an entry until its job is answered, in bytes: its state, and its place in queues.
 const TASK_BYTES: u64 = 256;
 /// Memory that one step takes beside its texts, in bytes.
--- a/crates/mastknot_core/src/job/mod.rs
+++ b/crates/mastknot_core/src/job/mod.rs
@@ -45,7 +45,7 @@
 pub use job_cancel::{CancelAnswer, CancelOutcome, JobCancel};
 pub use job_claim::{ClaimAnswer, JobClaim};
 pub use job_id::{JobId, JobIdError};
-pub use job_request::{JobRequest, JobRequestError};
+pub use job_request::{JobRequest, JobRequestError, MAX_STEPS};
 pub use known_entry::{KnownEntry, directory_digest};
 pub use learned_profile::{LearnedProfile, LearnedRunTimes, LearnedSlowdown, LearnedSuspect};
 pub use lease_terms::LeaseTerms;
