--- a/review/standins-3-cases.rs
+++ b/review/standins-3-cases.rs
@@ -7,6 +7,7 @@
         "cancel" => cancel_beside_cut(folder),
         "second-step" => impossible_second_step(folder),
         "shrunk" => shrunk_room(folder),
+        "narrow" => many_small_tasks(folder),
         "steps" => long_list_of_steps(folder),
         _ => 2,
     }
@@ -343,3 +344,73 @@
     drop(starts);
     bed.finish(folder, i32::from(!workers.is_empty()), &summary)
 }
+
+/// Memory in use in megabytes, and open descriptors, of a process.
+fn usage(process: &Process) -> (u64, usize) {
+    let Some(child) = &process.child else { return (0, 0) };
+    let status = std::fs::read_to_string(format!("/proc/{}/status", child.id())).unwrap_or_default();
+    let line = status.lines().find(|line| line.starts_with("VmRSS:")).unwrap_or_default();
+    let kilobytes: u64 = line.split_whitespace().nth(1).and_then(|text| text.parse().ok()).unwrap_or(0);
+    let descriptors = std::fs::read_dir(format!("/proc/{}/fd", child.id())).map_or(0, Iterator::count);
+    (kilobytes * 1_024 / 1_000_000, descriptors)
+}
+
+/// Clients that nobody controls send jobs of 1,000 small tasks, inside all limits, for the workers of one rack. The
+/// platform kills a process once it exceeds the memory of its machine, and starts it again after a short delay.
+fn many_small_tasks(folder: &str) -> i32 {
+    const MEMORY_MB: u64 = 128;
+    const JOBS_AT_ONCE: usize = 12;
+    const WAVE_S: f64 = 4.0;
+    const FOR_S: f64 = 32.0;
+    const RESTART_S: f64 = 0.5;
+    let mut bed = Bed::new(4, 11, 32_000, false, &config(false));
+    if !bed.wait_ready() {
+        return bed.finish(folder, 2, "the deployment did not get ready");
+    }
+    thread::sleep(Duration::from_secs(3));
+    let answers: Arc<Mutex<HashMap<String, (f64, Option<u16>)>>> = Arc::default();
+    let body = "{\"spec\":\"run 300 cpu 1\",\"bestEffort\":true,\"steps\":[{\"count\":1000,\"cpu\":1,\"memMb\":1,\"estRuntimeMs\":5000,\"constraints\":\"r1-3\"}]}";
+    let wide_ids = job_ids(91, 400);
+    let ids = job_ids(92, 4_000);
+    let begin = bed.record.now();
+    let (mut memory, mut descriptors, mut jobs, mut sent, mut next) = (0, 0, 0, 0, 0.0);
+    let mut ends = vec![0; bed.sides.len()];
+    let mut starts_at: Vec<Option<f64>> = vec![None; bed.sides.len()];
+    while bed.record.now() < begin + FOR_S {
+        let at = bed.record.now() - begin;
+        if with_trouble() && jobs / JOBS_AT_ONCE <= (at / WAVE_S) as usize && at < FOR_S - WAVE_S {
+            for _ in 0..JOBS_AT_ONCE {
+                submit(&bed, jobs % 4, "one", &wide_ids[jobs], body.to_owned(), 10_000, &answers);
+                jobs += 1;
+            }
+        }
+        for index in 0..bed.sides.len() {
+            if starts_at[index].is_some_and(|start| start <= at) {
+                starts_at[index] = None;
+                bed.sides[index].start();
+                bed.record.write(format!("platform starts side {index} again"));
+            }
+            let (megabytes, open) = usage(&bed.sides[index]);
+            memory = memory.max(megabytes);
+            descriptors = descriptors.max(open);
+            if megabytes > MEMORY_MB {
+                bed.sides[index].kill();
+                ends[index] += 1;
+                starts_at[index] = Some(at + RESTART_S);
+                bed.record.write(format!("platform kills side {index}: {megabytes} MB, {open} descriptors"));
+            }
+        }
+        if at >= next {
+            submit(&bed, sent % 4, "two", &ids[sent], chain_body(1, 60, 100), 1_500, &answers);
+            sent += 1;
+            next = at + 0.050;
+        }
+        thread::sleep(Duration::from_millis(10));
+    }
+    // A tenth of the fifteen machines in use, two at least.
+    let machines = ends.iter().filter(|ends| **ends >= 3).count();
+    let summary = format!(
+        "{jobs} jobs of 1,000 tasks of a thousandth of a core: a side used {memory} MB at the most (its machine has {MEMORY_MB}), {descriptors} descriptors; ends over the memory, by side: {ends:?}; machines with three or more: {machines}"
+    );
+    bed.finish(folder, i32::from(machines >= 2), &summary)
+}
--- a/review/standins-3.rs
+++ b/review/standins-3.rs
@@ -250,7 +250,8 @@
         for stream in listener.incoming() {
             let Ok(mut stream) = stream else { continue };
             let handler = Arc::clone(&handler);
-            thread::spawn(move || {
+            // Many connections may come at once, so that each thread gets a small stack.
+            let _ = thread::Builder::new().stack_size(256 * 1_024).spawn(move || {
                 let _ = stream.set_nodelay(true);
                 let mut buffer = Vec::new();
                 while let Some((first, headers, body)) = read_message(&mut stream, &mut buffer) {
@@ -862,8 +863,9 @@
         let program = std::env::var("MASTKNOT_PLATFORM").unwrap_or("target/release/mastknot-platform".to_owned());
         let log = std::fs::OpenOptions::new().create(true).append(true).open(&self.log).expect("log");
         let errors = log.try_clone().expect("log");
-        let child = Command::new(program)
-            .arg(self.role)
+        // The machines have 4,096 descriptors for a side and 4,100 for an entry.
+        let child = Command::new("sh")
+            .args(["-c", "ulimit -n 4096 && exec \"$0\" \"$1\"", &program, self.role])
             .env("MASTKNOT_NODE_FILE", &self.settings)
             .stdin(Stdio::null())
             .stdout(log)
