--- a/review/standins-3-cases.rs
+++ b/review/standins-3-cases.rs
@@ -359,9 +359,9 @@
 /// platform kills a process once it exceeds the memory of its machine, and starts it again after a short delay.
 fn many_small_tasks(folder: &str) -> i32 {
     const MEMORY_MB: u64 = 128;
-    const JOBS_AT_ONCE: usize = 12;
+    const JOBS_AT_ONCE: usize = 16;
     const WAVE_S: f64 = 4.0;
-    const FOR_S: f64 = 32.0;
+    const FOR_S: f64 = 46.0;
     const RESTART_S: f64 = 0.5;
     let mut bed = Bed::new(4, 11, 32_000, false, &config(false));
     if !bed.wait_ready() {
